--- /dev/null
+++ b/packages/decision/tests/unit-fleet_state.cpp
@@ -0,0 +1,233 @@
+// Covers detail/control/fleet_state.hpp: records, configuration, operators, updates of views.
+#include "chervilspring/detail/control/fleet_state.hpp"
+#include "chervilspring/detail/node/node.hpp"
+
+#include <boost/test/unit_test.hpp>
+
+namespace {
+
+using namespace chervilspring;
+
+struct Applied
+{
+    FleetState state_;
+    std::uint64_t index_ = 0;
+    WallTime time_{seconds(10000)};
+
+    Outcome operator()(const Command &command)
+    {
+        return apply(state_, LogEntry{++index_, 1, time_, command});
+    }
+};
+
+AttemptId attempt(std::uint64_t sequence, std::uint32_t number = 0)
+{
+    return AttemptId{RequestId{"e1", 1, sequence}, 0, number};
+}
+
+Record record(const std::string &key, std::uint64_t digest = 5, std::uint64_t sequence = 1)
+{
+    Record item;
+    item.key_ = RecordKey{"a", "p", key};
+    item.bodyDigest_ = digest;
+    item.attempt_ = attempt(sequence);
+    return item;
+}
+
+ApplyFleet fleetChange(const std::string &operation, std::uint64_t base, const std::string &name)
+{
+    ApplyFleet change;
+    change.operationId_ = operation;
+    change.baseVersion_ = base;
+    change.fleet_.pools_ = {Pool{name, "x", {}}};
+    return change;
+}
+
+Upstream upstream(const std::string &name, std::uint64_t boot)
+{
+    Upstream item;
+    item.name_ = name;
+    item.agentBoot_ = boot;
+    item.phase_ = UpstreamPhase::Serving;
+    return item;
+}
+
+BOOST_AUTO_TEST_CASE(first_reservation_wins)
+{
+    Applied apply;
+    BOOST_TEST((apply(ReserveRecord{record("k")}).kind_ == OutcomeKind::Accepted));
+    // The same proposal again, after its answer was lost.
+    BOOST_TEST((apply(ReserveRecord{record("k")}).kind_ == OutcomeKind::Accepted));
+    const Outcome other = apply(ReserveRecord{record("k", 5, 2)});
+    BOOST_TEST((other.kind_ == OutcomeKind::Duplicate));
+    BOOST_TEST((other.record_->attempt_ == attempt(1)));
+    BOOST_TEST((apply(ReserveRecord{record("k", 6, 3)}).kind_ == OutcomeKind::OtherBody));
+}
+
+BOOST_AUTO_TEST_CASE(completed_record_answers_resends)
+{
+    Applied apply;
+    apply(ReserveRecord{record("k")});
+    BOOST_TEST(
+        (apply(CompleteRecord{record("k").key_, attempt(9), "x"}).kind_ == OutcomeKind::Conflict));
+    BOOST_TEST((apply(CompleteRecord{record("k").key_, attempt(1), "result"}).kind_
+                == OutcomeKind::Accepted));
+    const Outcome resend = apply(ReserveRecord{record("k", 5, 2)});
+    BOOST_TEST((resend.kind_ == OutcomeKind::Duplicate));
+    BOOST_TEST(resend.record_->body_ == "result");
+    BOOST_TEST((apply(ReleaseRecord{record("k").key_, attempt(1)}).kind_ == OutcomeKind::Conflict));
+}
+
+BOOST_AUTO_TEST_CASE(pending_record_is_never_reclaimed_by_time)
+{
+    Applied apply;
+    apply(ReserveRecord{record("10000-k")});
+    apply.time_ += seconds(86400);
+    apply(Noop{});
+    BOOST_TEST(apply.state_.records_.size() == 1u);
+    BOOST_TEST((apply(ReserveRecord{record("10000-k", 5, 2)}).kind_ == OutcomeKind::Duplicate));
+}
+
+BOOST_AUTO_TEST_CASE(resend_past_retention_is_refused)
+{
+    Applied apply;
+    apply(ReserveRecord{record("10000-k")});
+    apply(CompleteRecord{record("10000-k").key_, attempt(1), "r"});
+    // As long as the record exists it answers; once it is gone the key is too old.
+    for (int second = 0; second < 1000; second += 50) {
+        apply.time_ = WallTime(seconds(10000 + second));
+        const Outcome resend = apply(ReserveRecord{record("10000-k", 5, 2)});
+        BOOST_TEST(
+            (resend.kind_ == OutcomeKind::Duplicate || resend.kind_ == OutcomeKind::Expired));
+    }
+    BOOST_TEST(apply.state_.records_.empty());
+}
+
+BOOST_AUTO_TEST_CASE(reassignment_needs_the_recorded_attempt)
+{
+    Applied apply;
+    apply(ReserveRecord{record("k")});
+    const RecordKey key = record("k").key_;
+    BOOST_TEST((apply(ReassignRecord{key, attempt(7), attempt(2), "u", 1}).kind_
+                == OutcomeKind::Conflict));
+    BOOST_TEST((apply(ReassignRecord{key, attempt(1), attempt(2), "u", 1}).kind_
+                == OutcomeKind::Accepted));
+    // Again, after its answer was lost.
+    BOOST_TEST((apply(ReassignRecord{key, attempt(1), attempt(2), "u", 1}).kind_
+                == OutcomeKind::Accepted));
+    BOOST_TEST((apply(ReassignRecord{key, attempt(1), attempt(3), "u", 1}).kind_
+                == OutcomeKind::Conflict));
+}
+
+BOOST_AUTO_TEST_CASE(unknown_outcome_waits_for_the_operator)
+{
+    Applied apply;
+    const RecordKey key = record("k").key_;
+    apply(ReserveRecord{record("k")});
+    apply(MarkUnknown{key, attempt(1)});
+    BOOST_TEST((apply(ReassignRecord{key, attempt(1), attempt(2), "u", 1}).kind_
+                == OutcomeKind::Conflict));
+    BOOST_TEST((apply(SettleRecord{"op", key, true, "settled"}).kind_ == OutcomeKind::Accepted));
+    BOOST_TEST(apply(ReserveRecord{record("k", 5, 2)}).record_->body_ == "settled");
+}
+
+BOOST_AUTO_TEST_CASE(equal_base_versions_conflict)
+{
+    Applied apply;
+    const Outcome first = apply(fleetChange("op1", 0, "one"));
+    const Outcome second = apply(fleetChange("op2", 0, "two"));
+    BOOST_TEST((first.kind_ == OutcomeKind::Accepted));
+    BOOST_TEST((second.kind_ == OutcomeKind::Conflict));
+    BOOST_TEST(second.version_ == first.version_);
+    BOOST_TEST(apply.state_.view_.fleet_.pools_[0].name_ == "one");
+}
+
+BOOST_AUTO_TEST_CASE(resent_operation_gets_its_first_answer)
+{
+    Applied apply;
+    const Outcome first = apply(fleetChange("op1", 0, "one"));
+    apply(fleetChange("op2", first.version_, "two"));
+    const Outcome again = apply(fleetChange("op1", 0, "one"));
+    BOOST_TEST((again.kind_ == OutcomeKind::Accepted));
+    BOOST_TEST(again.version_ == first.version_);
+    BOOST_TEST(apply.state_.view_.fleet_.pools_[0].name_ == "two");
+    // Also after a restart from a snapshot.
+    FleetState restored = restoreFleetState(makeSnapshot(apply.state_));
+    const Outcome afterRestart =
+        chervilspring::apply(restored, LogEntry{99, 1, apply.time_, fleetChange("op1", 0, "one")});
+    BOOST_TEST(afterRestart.version_ == first.version_);
+}
+
+BOOST_AUTO_TEST_CASE(operators_intent_survives_restarts_of_the_agent)
+{
+    Applied apply;
+    apply(AnnounceUpstream{upstream("u", 1)});
+    apply(DrainUpstream{"op1", "u", true});
+    apply(SetLabel{"op2", "u", "tier", "gold"});
+    apply(RemoveUpstream{"u", 1});
+    apply(AnnounceUpstream{upstream("u", 2)});
+    const Upstream &found = apply.state_.view_.upstreams_.at(0);
+    BOOST_TEST(found.drained_);
+    BOOST_TEST(found.operatorLabels_.size() == 1u);
+    // A late removal for the old boot changes nothing.
+    BOOST_TEST((apply(RemoveUpstream{"u", 1}).kind_ == OutcomeKind::NotFound));
+}
+
+BOOST_AUTO_TEST_CASE(crashes_alone_name_the_culprit)
+{
+    Applied apply;
+    const auto refused = [&](std::uint64_t digest) {
+        for (const Suspect &suspect : apply.state_.view_.suspects_) {
+            if (suspect.digest_ == digest)
+                return suspect.refused_;
+        }
+        return false;
+    };
+    apply(ReportCrash{1, "u", false});
+    apply(ReportCrash{2, "u", false});
+    BOOST_TEST(!refused(1));
+    BOOST_TEST(!refused(2));
+    apply(ReportCrash{1, "u", true});
+    apply(ClearSuspect{2});
+    BOOST_TEST(refused(1));
+    BOOST_TEST(apply.state_.view_.suspects_.size() == 1u);
+    // A request that crashed alone once may have met a VM that failed by itself.
+    apply(ReportCrash{3, "u", true});
+    BOOST_TEST(!refused(3));
+}
+
+BOOST_AUTO_TEST_CASE(updates_lead_to_the_same_view_and_never_back)
+{
+    Applied apply;
+    apply(fleetChange("op0", 0, "zero"));
+    const auto start = updateView(View{}, makeUpdate(apply.state_, 0));
+    BOOST_REQUIRE(start);
+    const std::uint64_t startVersion = start->version_;
+    for (std::uint64_t i = 0; i < 20; ++i)
+        apply(AnnounceUpstream{upstream("u" + std::to_string(i), i + 1)});
+    apply(RemoveUpstream{"u3", 4});
+    const ViewUpdate difference = makeUpdate(apply.state_, startVersion);
+    BOOST_TEST(difference.fromVersion_ == startVersion);
+    BOOST_TEST(!difference.fleet_);
+    const auto newer = updateView(*start, difference);
+    BOOST_REQUIRE(newer);
+    BOOST_TEST(newer->upstreams_.size() == 19u);
+    BOOST_TEST(newer->fleet_.pools_[0].name_ == "zero");
+    // An older update that comes late is ignored.
+    BOOST_TEST(!updateView(*newer, makeFullUpdate(*start)));
+    // A difference from a version that this node doesn't have is ignored.
+    BOOST_TEST(!updateView(View{}, difference));
+}
+
+BOOST_AUTO_TEST_CASE(node_hundreds_of_changes_behind_gets_the_whole_view)
+{
+    Applied apply;
+    apply(AnnounceUpstream{upstream("u", 1)});
+    const std::uint64_t version = apply.state_.view_.version_;
+    for (int i = 0; i < 700; ++i)
+        apply(SetLabel{"op" + std::to_string(i), "u", "n", std::to_string(i)});
+    BOOST_TEST(makeUpdate(apply.state_, version).fromVersion_ == 0u);
+    BOOST_TEST(makeUpdate(apply.state_, version + 600).fromVersion_ == version + 600);
+}
+
+} // namespace
