Keep the main loop alive until a planned stop has finished

Cause: a rolling restart under load cut off orders. The main event loop had no work left once the signal had been handled, so it returned after 1 ms and the process ended with attempts running (agent log: start of a call at .435, stop asked at .442, stopped at .443). Ruled out: the reducer (it holds StopNow back while attempts run, unit-agent); the stand-in upstream, which also left before its last answers were written and is mended here, but had not stopped when the orders were lost. Change: a work guard on the main loop; the stand-in waits for its last answers.

--- a/packages/server/src/run_process.cpp
+++ b/packages/server/src/run_process.cpp
@@ -5,6 +5,7 @@
 #include "chervilspring/log.hpp"
 #include "chervilspring/process.hpp"
 
+#include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/signal_set.hpp>
 
@@ -161,6 +162,8 @@
 {
     openLog(settings.logFile_, settings.logLevel_);
     asio::io_context main(1);
+    // The loop has to outlive the signal: it ends when the last request is answered.
+    const auto guard = asio::make_work_guard(main);
     asio::signal_set signals(main, SIGTERM, SIGINT);
     int status = 0;
     try {
--- a/standins/src/upstream_main.cpp
+++ b/standins/src/upstream_main.cpp
@@ -127,7 +127,8 @@
         leaving_ = true;
         co_await client_.perform(agentCall("/leave", "{}"));
         co_await sleep(leaveDelay);
-        while (running_ > 0)
+        // Every answer has to be on its way before the process ends.
+        while (running_ > 0 || server_.busy() > 0)
             co_await sleep(milliseconds(10));
         context_.stop();
     }
