Repair members, announcements and shares that got stuck

A lost disk was not replaced while an operator polled the status: each read moved the leader's heartbeat on, and the membership was looked at only there. 2. An agent that left within 250 ms of a heartbeat stayed in the view until its lease ran out: the leader took the second announcement for the first. 3. The shares of fleet-wide limits summed to 1.33 of the whole: a reply that was lost was counted as taken, and a dead entry's share was forgotten before it ran out. A share lasted 3 s, less than a change of leader can take. Ruled out: lost Join messages (the leader's log shows them); the lease itself. Change: a timer of its own for the membership, at once after each change; one proposal per announcement, compared by content; shares counted at the larger of held and granted until they run out, 10 s long.

--- a/packages/decision/include/chervilspring/detail/control/consensus.hpp
+++ b/packages/decision/include/chervilspring/detail/control/consensus.hpp
@@ -89,6 +89,7 @@
     Instant lastLeaderContact_{};
     Instant electionAt_{};
     Instant heartbeatAt_{};
+    Instant planAt_{}; ///< next look at the membership; reads don't postpone it
     std::uint64_t termStart_ = 0; ///< index of this leader's Noop
     std::vector<PendingRead> reads_;
     std::map<std::string, Join> joins_; ///< newest identity heard from each control process
--- a/packages/decision/include/chervilspring/detail/control/control.hpp
+++ b/packages/decision/include/chervilspring/detail/control/control.hpp
@@ -73,6 +73,8 @@
     std::uint64_t agentBoot_ = 0;
     std::uint32_t share_ = 0; ///< granted share of fleet-wide limits, in millionths
     Instant shareExpires_{};
+    std::optional<Upstream> proposed_; ///< newest announcement handed to the log
+    Instant proposedAt_{};
 };
 
 /// @brief What stays the same for the life of a control process.
--- a/packages/decision/src/control/consensus.cpp
+++ b/packages/decision/src/control/consensus.cpp
@@ -11,6 +11,7 @@
 constexpr std::size_t maxEntriesPerMessage = 128;
 constexpr int heartbeatsPerTimeout = 6;
 constexpr auto joinInterval = milliseconds(300);
+constexpr auto planInterval = milliseconds(100);
 constexpr auto snapshotRetry = seconds(2);
 
 std::string memberText(const ConsensusState &state, std::uint64_t id)
@@ -160,7 +161,11 @@
     state.commit_ = std::max(state.commit_, std::min(index, lastIndex(state)));
     while (state.applied_ < state.commit_) {
         ++state.applied_;
-        output.committed_.push_back(state.log_[state.applied_ - state.baseIndex_ - 1]);
+        const LogEntry &entry = state.log_[state.applied_ - state.baseIndex_ - 1];
+        // A repair has several steps; the next one follows at once.
+        if (std::holds_alternative<ChangeMembers>(entry.command_))
+            state.planAt_ = Instant{};
+        output.committed_.push_back(entry);
     }
 }
 
@@ -610,10 +615,13 @@
         resetElectionTimer(state, now);
         return;
     }
-    if (now < state.heartbeatAt_)
+    if (now >= state.heartbeatAt_) {
+        broadcast(state, now, output);
+        confirmLeadership(state, output);
+    }
+    if (now < state.planAt_)
         return;
-    broadcast(state, now, output);
-    confirmLeadership(state, output);
+    state.planAt_ = now + planInterval;
     const auto plan = planMembership(state, now);
     if (!plan)
         return;
@@ -694,7 +702,7 @@
 Instant nextWake(const ConsensusState &state)
 {
     if (state.role_ == MemberRole::Leader)
-        return state.heartbeatAt_;
+        return std::min(state.heartbeatAt_, state.planAt_);
     return std::min(state.electionAt_, state.heartbeatAt_);
 }
 
--- a/packages/decision/src/control/control.cpp
+++ b/packages/decision/src/control/control.cpp
@@ -7,8 +7,9 @@
 namespace {
 
 constexpr auto sweepInterval = milliseconds(250);
+constexpr nanoseconds proposalPatience = seconds(1);
 constexpr auto stopLimit = seconds(2);
-constexpr nanoseconds shareLease = seconds(3);
+constexpr nanoseconds shareLease = seconds(10); // outlasts a change of leader
 constexpr nanoseconds shareGrace = seconds(1); // clock rates differ a little between VMs
 
 void carryOut(ControlState &state, Instant now, WallTime wall, ConsensusOutput output,
@@ -90,7 +91,8 @@
         // Every agent gets a whole lease to find the new leader.
         state.nodes_.clear();
         for (const Upstream &upstream : state.fleet_.view_.upstreams_)
-            state.nodes_[upstream.name_] = NodeStatus{now, 0, true, false, upstream.agentBoot_};
+            state.nodes_[upstream.name_] = NodeStatus{
+                now, 0, true, false, upstream.agentBoot_, 0, Instant{}, std::nullopt, Instant{}};
     }
     state.roleBefore_ = role;
 }
@@ -146,17 +148,40 @@
     carryOut(state, now, wall, std::move(output), effects);
 }
 
+bool sameAnnouncement(const Upstream &left, const Upstream &right)
+{
+    return left.agentBoot_ == right.agentBoot_ && left.phase_ == right.phase_
+        && left.labels_ == right.labels_ && left.concurrency_ == right.concurrency_
+        && left.agentPort_ == right.agentPort_;
+}
+
 bool announcementChanged(const ControlState &state, const Upstream &announced)
 {
     const Upstream *known = findByName(state.fleet_.view_.upstreams_, announced.name_);
     if (!known)
         return announced.phase_ != UpstreamPhase::Gone;
-    Upstream compared = announced;
-    compared.operatorLabels_ = known->operatorLabels_;
-    compared.drained_ = known->drained_;
-    return known->agentBoot_ != compared.agentBoot_ || known->phase_ != compared.phase_
-        || known->labels_ != compared.labels_ || known->concurrency_ != compared.concurrency_
-        || known->agentPort_ != compared.agentPort_;
+    return !sameAnnouncement(*known, announced);
+}
+
+void proposeAnnouncement(ControlState &state, Instant now, WallTime wall, const std::string &peer,
+                         const Upstream &upstream, ControlEffects &effects)
+{
+    NodeStatus &node = state.nodes_[peer];
+    // The same announcement may come again before its first proposal is committed.
+    const bool underWay = node.proposed_ && sameAnnouncement(*node.proposed_, upstream)
+        && now - node.proposedAt_ < proposalPatience;
+    if (underWay || !announcementChanged(state, upstream))
+        return;
+    node.proposed_ = upstream;
+    node.proposedAt_ = now;
+    effects.push_back(DecisionLine{"decision=membership upstream=" + upstream.name_ + " phase="
+                                   + boost::describe::enum_to_string(upstream.phase_, "?")
+                                   + " reason=announced"});
+    if (upstream.phase_ == UpstreamPhase::Gone)
+        proposeInternal(state, now, wall, RemoveUpstream{upstream.name_, upstream.agentBoot_},
+                        effects);
+    else
+        proposeInternal(state, now, wall, AnnounceUpstream{upstream}, effects);
 }
 
 std::uint32_t sharesOfOthers(const ControlState &state, Instant now, const std::string &self)
@@ -169,11 +194,13 @@
     return sum;
 }
 
-std::uint32_t countEntries(const ControlState &state)
+std::uint32_t countEntries(const ControlState &state, Instant now)
 {
+    const nanoseconds lease = state.settings_.nodeLease_;
     return static_cast<std::uint32_t>(
-        std::count_if(state.nodes_.begin(), state.nodes_.end(),
-                      [](const auto &item) { return item.second.isEntry_; }));
+        std::count_if(state.nodes_.begin(), state.nodes_.end(), [&](const auto &item) {
+            return item.second.isEntry_ && now - item.second.lastHeard_ <= lease;
+        }));
 }
 
 // Grants a share so that the sum of all unexpired shares stays within the whole.
@@ -182,15 +209,16 @@
 {
     const std::uint32_t others = sharesOfOthers(state, now, heartbeat.node_);
     const std::uint32_t available = wholeShare - std::min(wholeShare, others);
-    std::uint32_t wanted = wholeShare / std::max(1u, countEntries(state));
+    std::uint32_t wanted = wholeShare / std::max(1u, countEntries(state, now));
     // A new leader doesn't know what its predecessor granted; it only renews for one lease.
     const bool newLeader = now - state.leadingSince_ < shareLease + shareGrace;
     if (newLeader && !state.founding_)
         wanted = std::min(wanted, heartbeat.share_);
-    node.share_ = std::min(wanted, available);
-    node.shareExpires_ = now + shareLease;
     reply.granted_ = true;
-    reply.share_ = node.share_;
+    reply.share_ = std::min(wanted, available);
+    // If the answer is lost, the entry goes on with the share that it reported.
+    node.share_ = std::max(reply.share_, heartbeat.share_);
+    node.shareExpires_ = now + shareLease;
     reply.shareLease_ = shareLease;
 }
 
@@ -198,22 +226,8 @@
                  const Heartbeat &heartbeat, ControlEffects &effects)
 {
     const bool leading = leads(state.consensus_);
-    if (leading && heartbeat.upstream_) {
-        const Upstream &upstream = *heartbeat.upstream_;
-        const NodeStatus &known = state.nodes_[peer];
-        const bool pending =
-            known.agentBoot_ == upstream.agentBoot_ && now - known.lastHeard_ < sweepInterval;
-        if (!pending && announcementChanged(state, upstream)) {
-            effects.push_back(DecisionLine{
-                "decision=membership upstream=" + upstream.name_ + " phase="
-                + boost::describe::enum_to_string(upstream.phase_, "?") + " reason=announced"});
-            if (upstream.phase_ == UpstreamPhase::Gone)
-                proposeInternal(state, now, wall,
-                                RemoveUpstream{upstream.name_, upstream.agentBoot_}, effects);
-            else
-                proposeInternal(state, now, wall, AnnounceUpstream{upstream}, effects);
-        }
-    }
+    if (leading && heartbeat.upstream_)
+        proposeAnnouncement(state, now, wall, peer, *heartbeat.upstream_, effects);
     NodeStatus &node = state.nodes_[peer];
     node.lastHeard_ = now;
     node.viewVersion_ = heartbeat.viewVersion_;
@@ -248,8 +262,10 @@
         if (silent)
             expired.push_back(RemoveUpstream{upstream.name_, upstream.agentBoot_});
     }
-    std::erase_if(state.nodes_,
-                  [&](const auto &item) { return now - item.second.lastHeard_ > lease; });
+    // A dead entry's share stays counted until it has run out.
+    std::erase_if(state.nodes_, [&](const auto &item) {
+        return now - item.second.lastHeard_ > lease && item.second.shareExpires_ <= now;
+    });
     for (const RemoveUpstream &removal : expired) {
         effects.push_back(DecisionLine{"decision=membership upstream=" + removal.name_
                                        + " phase=Gone reason=lease_expired"});
--- a/packages/decision/tests/unit-consensus.cpp
+++ b/packages/decision/tests/unit-consensus.cpp
@@ -260,6 +260,68 @@
     }
 }
 
+// Constant reads once kept the leader from ever looking at the membership.
+BOOST_AUTO_TEST_CASE(constant_reads_do_not_hold_up_the_repair)
+{
+    Settled s(3);
+    const std::string lost = s.group_.leader() == "c3" ? "c2" : "c3";
+    s.group_.blankDisk(lost);
+    s.group_.boot(lost);
+    for (std::uint64_t i = 0; i < 200; ++i) {
+        s.group_.handle(s.group_.leader(), LocalRead{1000 + i});
+        s.group_.settle(milliseconds(50));
+    }
+    const auto &list = members(s.group_.member(s.group_.leader()).state_.consensus_);
+    BOOST_TEST(list.size() == 3u);
+    for (const Member &member : list) {
+        const std::uint64_t disk = s.group_.member(member.name_).disk_.synced_.memberId_;
+        BOOST_TEST(member.id_ == disk);
+    }
+}
+
+// An entry of an older term commits only together with one of the leader's own term.
+BOOST_AUTO_TEST_CASE(older_term_is_not_committed_by_counting)
+{
+    Settled s(3);
+    const std::string old = s.group_.leader();
+    const std::string other = old == "c1" ? "c2" : "c1";
+    // An entry reaches the disk of one follower only, uncommitted; that follower leads next.
+    s.group_.propose(ReserveRecord{testRecord("older")});
+    auto &messages = s.group_.messages();
+    std::erase_if(messages, [&](const GroupMessage &m) { return m.to_ != other; });
+    while (!messages.empty())
+        s.group_.deliver(0);
+    while (!s.group_.member(other).disk_.unsynced_.empty())
+        s.group_.syncOldest(other);
+    s.group_.crash(old);
+    messages.clear();
+    ConsensusState &next = s.group_.member(other).state_.consensus_;
+    const std::uint64_t olderIndex = lastIndex(next);
+    for (int i = 0; i < 200 && next.role_ != MemberRole::Leader; ++i)
+        s.group_.settle(milliseconds(20));
+    BOOST_REQUIRE((next.role_ == MemberRole::Leader));
+    BOOST_REQUIRE(next.termStart_ > olderIndex);
+    // Put the leader back to the moment before anybody stored its own entry.
+    next.commit_ = olderIndex - 1;
+    next.applied_ = olderIndex - 1;
+    const std::string third =
+        old == "c3" || other == "c3" ? (old == "c2" || other == "c2" ? "c1" : "c2") : "c3";
+    const std::uint64_t thirdId = s.group_.member(third).disk_.synced_.memberId_;
+    next.progress_[thirdId].match_ = 0;
+    AppendReply reply;
+    reply.cluster_ = next.hard_.cluster_;
+    reply.term_ = next.hard_.term_;
+    reply.member_ = thirdId;
+    reply.success_ = true;
+    reply.match_ = olderIndex;
+    ConsensusOutput output;
+    step(next, s.group_.now(), third, reply, output);
+    BOOST_TEST(next.commit_ == olderIndex - 1);
+    reply.match_ = next.termStart_;
+    step(next, s.group_.now(), third, reply, output);
+    BOOST_TEST(next.commit_ >= next.termStart_);
+}
+
 BOOST_AUTO_TEST_CASE(spare_replaces_a_silent_voter)
 {
     ControlGroup group(6, 11);
