--- a/packages/decision/src/entry/admission.cpp
+++ b/packages/decision/src/entry/admission.cpp
@@ -61,7 +61,7 @@
     const double share = valid ? static_cast<double>(state.share_) / wholeShare : 0;
     const double rate = account.requestsPerSecond_ * share / state.settings_.shards_;
     if (use.filledAt_ == Instant{}) {
-        use.tokens_ = std::max(1.0, rate / 4);
+        use.tokens_ = rate > 0 ? std::max(1.0, rate / 4) : 0;
         use.filledAt_ = now;
     }
     const double elapsed = static_cast<double>((now - use.filledAt_).count()) / 1e9;
--- a/packages/decision/src/entry/entry.cpp
+++ b/packages/decision/src/entry/entry.cpp
@@ -497,7 +497,8 @@
 bool isReady(const EntryState &state, Instant now)
 {
     return !state.stopping_ && state.view_->fleetVersion_ != 0
-        && now - state.asOf_ <= state.settings_.staleAfter_ && state.shareExpires_ > now;
+        && now - state.asOf_ <= state.settings_.staleAfter_ && state.shareExpires_ > now
+        && state.share_ > 0;
 }
 
 void reduce(EntryState &state, Instant now, WallTime wall, const EntryEvent &event,
--- a/packages/decision/src/entry/flow.cpp
+++ b/packages/decision/src/entry/flow.cpp
@@ -15,6 +15,7 @@
 constexpr nanoseconds inquireInterval = milliseconds(200);
 constexpr nanoseconds recordPoll = milliseconds(100);
 constexpr nanoseconds followPatience = milliseconds(400); // before another's attempt is questioned
+constexpr nanoseconds viewPatience = milliseconds(500); // for the view to catch up
 constexpr nanoseconds minCheck = milliseconds(500);
 constexpr int checkFactor = 4; // times the expected service
 constexpr nanoseconds lastCheck = milliseconds(200); // before the deadline
@@ -157,6 +158,27 @@
         && takeRetry(context.state_, request.pipeline_->name_);
 }
 
+bool saysViewIsBehind(const std::string &reason)
+{
+    static constexpr std::string_view reasons[] = {"agent_restarted", "upstream_not_serving",
+                                                   "upstream_drained", "upstream_unreachable",
+                                                   "view_too_old"};
+    return std::find(std::begin(reasons), std::end(reasons), reason) != std::end(reasons);
+}
+
+void avoidUpstream(FlowContext &context, const Request &request)
+{
+    UpstreamEstimate &estimate = context.state_.estimates_[request.attempt_.upstream_];
+    estimate.ejectedUntil_ = context.now_ + viewPatience;
+}
+
+// Nothing ran and no upstream had any work from it, so the retry budget is not touched.
+bool mayTryElsewhere(const FlowContext &context, const Request &request)
+{
+    return request.attempt_.number_ + 1 < maxAttempts
+        && timeLeft(context, request) > nanoseconds(0);
+}
+
 void retry(FlowContext &context, Request &request)
 {
     request.tried_.insert(request.attempt_.upstream_);
@@ -350,7 +372,13 @@
              "this request has crashed upstreams that ran it");
         return;
     }
-    if (mayRetry(context, request))
+    // The upstream is not what the view says: others are better until the view has caught up.
+    const bool viewIsBehind = saysViewIsBehind(reason);
+    if (viewIsBehind)
+        avoidUpstream(context, request);
+    const bool again =
+        viewIsBehind ? mayTryElsewhere(context, request) : mayRetry(context, request);
+    if (again)
         retry(context, request);
     else
         fail(context, request, ErrorId::StageFailed, "refused: " + reason, retryAfterFailure);
--- a/packages/decision/src/node/node.cpp
+++ b/packages/decision/src/node/node.cpp
@@ -9,7 +9,8 @@
 namespace {
 
 constexpr nanoseconds heartbeatInterval = seconds(1);
-constexpr nanoseconds firstHeartbeats = milliseconds(100); // until the first view has come
+constexpr nanoseconds firstHeartbeats = milliseconds(100); // until view and share have come
+constexpr nanoseconds searchInterval = milliseconds(300); // while no control process answers
 constexpr nanoseconds heartbeatPatience = milliseconds(1500);
 constexpr nanoseconds proposalResend = milliseconds(250);
 
@@ -169,7 +170,8 @@
     resendProposals(state, now, effects);
     if (now < state.heartbeatAt_)
         return;
-    const bool starting = state.asOf_ == Instant{};
+    const bool starting =
+        state.asOf_ == Instant{} || (state.settings_.isEntry_ && state.share_ == 0);
     state.heartbeatAt_ = now + (starting ? firstHeartbeats : heartbeatInterval);
     const auto sent = state.heartbeatSent_.find(state.leader_);
     if (sent != state.heartbeatSent_.end() && now - sent->second > heartbeatPatience) {
