--- a/packages/server/src/control_thread.cpp
+++ b/packages/server/src/control_thread.cpp
@@ -308,6 +308,7 @@
     metrics_.set("messages_sent", static_cast<double>(network_.traffic().messagesSent_));
     metrics_.set("bytes_sent", static_cast<double>(network_.traffic().bytesSent_));
     metrics_.set("bytes_received", static_cast<double>(network_.traffic().bytesReceived_));
+    metrics_.set("messages_received", static_cast<double>(network_.traffic().messagesReceived_));
 }
 
 } // namespace chervilspring
