Estimate service times per stage of a pipeline, not per upstream

Cause: an upstream's moving mean mixed summaries of 160 tokens with answers of 16. Change: usual time per pipeline and stage, times a slowness per upstream; waiting counted beyond the upstream's concurrency only.

--- a/bench/policy.cpp
+++ b/bench/policy.cpp
@@ -1,7 +1,8 @@
 /// @file
 /// @brief Attainment and cost by stage of the policy and of the baselines, paired by seed.
 ///
-/// Usage: bench_policy [SEEDS]. Prints CSV: case,policy,load,sent,attained,attained_in_window,cost.
+/// Usage: bench_policy [SEEDS [target]]. With "target" only the target's fleet is run. Prints CSV:
+/// case,policy,load,sent,attained,attained_in_window,cost.
 #include "virtual_town.hpp"
 
 #include "chervilspring/digest.hpp"
@@ -171,10 +172,13 @@
 {
     const int seeds = argc > 1 ? std::atoi(argv[1]) : 3;
     std::printf("case,policy,load,sent,attained,attained_in_window,cost\n");
+    if (argc > 2) {
+        runTarget();
+        return 0;
+    }
     for (const Case &item : cases) {
         for (const NamedPolicy &named : policies)
             runCase(item, named, seeds);
     }
-    runTarget();
     return 0;
 }
--- a/packages/decision/include/chervilspring/detail/entry/entry.hpp
+++ b/packages/decision/include/chervilspring/detail/entry/entry.hpp
@@ -147,7 +147,8 @@
     std::uint32_t reported_ = 0; ///< queued and running in the newest report
     std::uint32_t ownAtReport_ = 0; ///< inFlight_ when the report came
     Instant reportedAt_{};
-    nanoseconds serviceTime_{0}; ///< moving mean, 0: unknown
+    nanoseconds serviceTime_{0}; ///< moving mean over all kinds of work, 0: unknown
+    double slowness_ = 1; ///< moving mean of service time over the stage's usual one
     std::uint32_t failures_ = 0; ///< in a row
     Instant ejectedUntil_{};
     Instant servingSince_{}; ///< for slow start
@@ -274,6 +275,7 @@
     std::uint64_t nextSequence_ = 1;
     std::uint64_t nextProposal_ = 1;
     std::unordered_map<std::string, UpstreamEstimate> estimates_;
+    std::map<std::string, nanoseconds> stageTimes_; ///< usual service time by pipeline and stage
     std::map<std::string, AccountUse> accounts_;
     std::map<std::string, RetryBudget> budgets_;
     std::map<std::string, std::string> credentials_; ///< credential to account, for this view
--- a/packages/decision/include/chervilspring/detail/entry/routing.hpp
+++ b/packages/decision/include/chervilspring/detail/entry/routing.hpp
@@ -25,13 +25,17 @@
 /// @return the route; upstream_ is nullptr if nothing serves the stage
 Route chooseUpstream(EntryState &state, Instant now, const Request &request);
 
+/// @brief Usual service time of a stage of a pipeline: measured, or else the operator's estimate.
+nanoseconds usualServiceTime(const EntryState &state, const PipelineSpec &pipeline,
+                             std::uint32_t stage);
+
 /// @brief Expected time until an upstream has finished one more attempt.
 /// @param estimate what is known of it
 /// @param upstream its announcement
-/// @param stage for the assumed service time
+/// @param usual usual service time of the stage
 /// @param now local time
 nanoseconds expectedTime(const UpstreamEstimate &estimate, const Upstream &upstream,
-                         const StageSpec &stage, Instant now);
+                         nanoseconds usual, Instant now);
 
 /// @brief Smallest time in which the remaining stages can be expected to finish.
 nanoseconds expectedTotal(EntryState &state, Instant now, const Request &request);
@@ -39,8 +43,10 @@
 /// @brief Takes a load report into account.
 void noteLoad(EntryState &state, Instant now, const std::string &upstream, const Load &load);
 
-/// @brief Takes the end of an attempt into account.
-void noteResult(EntryState &state, Instant now, const std::string &upstream, bool ok,
-                nanoseconds serviceTime);
+/// @brief Takes the whole result of the request's current attempt into account.
+void noteSuccess(EntryState &state, const Request &request, nanoseconds serviceTime);
+
+/// @brief Takes a failure of an upstream into account.
+void noteFailure(EntryState &state, Instant now, const std::string &upstream);
 
 } // namespace chervilspring
--- a/packages/decision/src/entry/entry.cpp
+++ b/packages/decision/src/entry/entry.cpp
@@ -69,8 +69,7 @@
         return;
     }
     if (!request.followsForeign_) {
-        noteResult(context.state_, context.now_, request.attempt_.upstream_, true,
-                   result.serviceTime_);
+        noteSuccess(context.state_, request, result.serviceTime_);
         UpstreamEstimate &estimate = context.state_.estimates_[request.attempt_.upstream_];
         if (request.attempt_.open_ && estimate.inFlight_ > 0)
             --estimate.inFlight_;
@@ -280,7 +279,7 @@
         candidatesFor(context.state_, *request.pipeline_, request.stage_, request.policy_);
     const bool worthwhile = left > minHedgeTime && others.size() > 1 && !streaming;
     if (worthwhile && takeRetry(context.state_, request.pipeline_->name_)) {
-        noteResult(context.state_, context.now_, request.attempt_.upstream_, false, nanoseconds(0));
+        noteFailure(context.state_, context.now_, request.attempt_.upstream_);
         decide(context, request, "overdue=retry_elsewhere");
         cancelAttempt(context, request);
         request.tried_.insert(request.attempt_.upstream_);
--- a/packages/decision/src/entry/flow.cpp
+++ b/packages/decision/src/entry/flow.cpp
@@ -269,8 +269,9 @@
     attempt.mayHaveRunBefore_ = request.mayHaveRun_;
     request.mayHaveRun_ = true;
     openAttempt(context, request);
-    const UpstreamEstimate &estimate = context.state_.estimates_[attempt.upstream_];
-    const nanoseconds service = std::max(nanoseconds(stage.estimate_), estimate.serviceTime_);
+    const nanoseconds service =
+        std::max(nanoseconds(stage.estimate_),
+                 usualServiceTime(context.state_, *request.pipeline_, request.stage_));
     attempt.checkAt_ = stage.idempotent_
         ? context.now_ + std::max(minCheck, service * checkFactor)
         : request.deadline_ - std::min(lastCheck, timeLeft(context, request) / 4);
@@ -388,7 +389,7 @@
                      const std::string &detail)
 {
     closeAttempt(context, request);
-    noteResult(context.state_, context.now_, request.attempt_.upstream_, false, nanoseconds(0));
+    noteFailure(context.state_, context.now_, request.attempt_.upstream_);
     decide(context, request,
            std::string("failed=") + boost::describe::enum_to_string(kind, "?")
                + " detail=" + detail);
--- a/packages/decision/src/entry/routing.cpp
+++ b/packages/decision/src/entry/routing.cpp
@@ -15,9 +15,18 @@
 constexpr nanoseconds slowStart = seconds(2);
 constexpr std::uint32_t failuresToEject = 3;
 constexpr nanoseconds ejection = seconds(2);
-constexpr int serviceTimeWeight = 8;
+constexpr int upstreamWeight = 8; // moving mean over about this many attempts
+constexpr int stageWeight = 64;
+constexpr double crowding = 0.5; // added to the service time at full concurrency
+constexpr double minSlowness = 0.1;
+constexpr double maxSlowness = 20;
 constexpr double maxEjectedShare = 0.5;
 
+std::string stageKey(const PipelineSpec &pipeline, std::uint32_t stage)
+{
+    return pipeline.name_ + "/" + std::to_string(stage);
+}
+
 Selector selectorOf(const std::string &text)
 {
     return leaf::try_handle_all([&]() -> leaf::result<Selector> { return parseSelector(text); },
@@ -72,13 +81,13 @@
 
 double scoreOf(EntryState &state, Instant now, const Request &request, const Upstream &upstream)
 {
-    const StageSpec &stage = request.pipeline_->stages_[request.stage_];
     const UpstreamEstimate &estimate = state.estimates_[upstream.name_];
-    nanoseconds time = expectedTime(estimate, upstream, stage, now);
+    const nanoseconds usual = usualServiceTime(state, *request.pipeline_, request.stage_);
+    nanoseconds time = expectedTime(estimate, upstream, usual, now);
     if (upstream.dataCenter_ != state.settings_.dataCenter_)
         time += 2 * otherDataCenter;
     const double milliseconds = static_cast<double>(time.count()) / 1e6;
-    const double service = static_cast<double>(estimate.serviceTime_.count()) / 1e6;
+    const double service = static_cast<double>(usual.count()) / 1e6 * estimate.slowness_;
     // With a cost weight, slow service counts beside the expected answer time.
     return milliseconds + service * request.policy_.costWeight_ / 100.0;
 }
@@ -86,7 +95,7 @@
 Route routeRoundRobin(EntryState &state, const Request &request,
                       const std::vector<const Upstream *> &list)
 {
-    const std::string key = request.pipeline_->name_ + "/" + std::to_string(request.stage_);
+    const std::string key = stageKey(*request.pipeline_, request.stage_);
     Route route;
     route.upstream_ = list[state.roundRobin_[key]++ % list.size()];
     route.decision_.reason_ = "round_robin";
@@ -155,23 +164,33 @@
     return state.candidates_.emplace(key, CandidateList{std::move(list)}).first->second.upstreams_;
 }
 
+nanoseconds usualServiceTime(const EntryState &state, const PipelineSpec &pipeline,
+                             std::uint32_t stage)
+{
+    const auto found = state.stageTimes_.find(stageKey(pipeline, stage));
+    return found == state.stageTimes_.end() ? nanoseconds(pipeline.stages_[stage].estimate_)
+                                            : found->second;
+}
+
 nanoseconds expectedTime(const UpstreamEstimate &estimate, const Upstream &upstream,
-                         const StageSpec &stage, Instant now)
+                         nanoseconds usual, Instant now)
 {
-    const nanoseconds service = estimate.serviceTime_ > nanoseconds(0)
-        ? estimate.serviceTime_
-        : nanoseconds(stage.estimate_);
+    const double service = static_cast<double>(usual.count()) * estimate.slowness_;
+    const double mean = estimate.serviceTime_ > nanoseconds(0)
+        ? static_cast<double>(estimate.serviceTime_.count())
+        : service;
     // Load that others put there fades with the age of the report; the own load is exact.
     const std::uint32_t foreign =
         estimate.reported_ > estimate.ownAtReport_ ? estimate.reported_ - estimate.ownAtReport_ : 0;
     const double load = estimate.inFlight_ + foreign * ageFactor(now - estimate.reportedAt_);
-    double waves = load / std::max(1u, upstream.concurrency_);
+    const double slots = std::max(1u, upstream.concurrency_);
+    // Work beside others takes longer; work beyond the concurrency waits for a slot.
+    double time = service * (1 + crowding * std::min(1.0, load / slots));
+    time += mean * std::max(0.0, load + 1 - slots) / slots;
     const nanoseconds serving = now - estimate.servingSince_;
     if (estimate.servingSince_ != Instant{} && serving < slowStart)
-        waves += (load + 1)
-            * (1.0 - static_cast<double>(serving.count()) / static_cast<double>(slowStart.count()));
-    return service
-        + nanoseconds(static_cast<std::int64_t>(static_cast<double>(service.count()) * waves));
+        time *= 2 - static_cast<double>(serving.count()) / static_cast<double>(slowStart.count());
+    return nanoseconds(static_cast<std::int64_t>(time));
 }
 
 nanoseconds expectedTotal(EntryState &state, Instant now, const Request &request)
@@ -180,9 +199,9 @@
     const auto &stages = request.pipeline_->stages_;
     for (std::uint32_t i = request.stage_; i < stages.size(); ++i) {
         nanoseconds best = nanoseconds::max();
+        const nanoseconds usual = usualServiceTime(state, *request.pipeline_, i);
         for (const Upstream *item : candidatesFor(state, *request.pipeline_, i, request.policy_))
-            best =
-                std::min(best, expectedTime(state.estimates_[item->name_], *item, stages[i], now));
+            best = std::min(best, expectedTime(state.estimates_[item->name_], *item, usual, now));
         if (best != nanoseconds::max())
             total += best;
     }
@@ -219,19 +238,24 @@
         estimate.serviceTime_ = load.serviceTime_;
 }
 
-void noteResult(EntryState &state, Instant now, const std::string &upstream, bool ok,
-                nanoseconds serviceTime)
+void noteSuccess(EntryState &state, const Request &request, nanoseconds serviceTime)
 {
-    UpstreamEstimate &estimate = state.estimates_[upstream];
-    if (!ok) {
-        if (++estimate.failures_ >= failuresToEject)
-            estimate.ejectedUntil_ = now + ejection;
-        return;
-    }
+    UpstreamEstimate &estimate = state.estimates_[request.attempt_.upstream_];
     estimate.failures_ = 0;
-    estimate.serviceTime_ = estimate.serviceTime_ == nanoseconds(0)
-        ? serviceTime
-        : estimate.serviceTime_ + (serviceTime - estimate.serviceTime_) / serviceTimeWeight;
+    const std::string key = stageKey(*request.pipeline_, request.stage_);
+    nanoseconds &usual = state.stageTimes_.try_emplace(key, serviceTime).first->second;
+    const double ratio = static_cast<double>(serviceTime.count())
+        / static_cast<double>(std::max<std::int64_t>(1, usual.count()));
+    estimate.slowness_ +=
+        (std::clamp(ratio, minSlowness, maxSlowness) - estimate.slowness_) / upstreamWeight;
+    usual += (serviceTime - usual) / stageWeight;
+}
+
+void noteFailure(EntryState &state, Instant now, const std::string &upstream)
+{
+    UpstreamEstimate &estimate = state.estimates_[upstream];
+    if (++estimate.failures_ >= failuresToEject)
+        estimate.ejectedUntil_ = now + ejection;
 }
 
 } // namespace chervilspring
