Choose by the own load and by silence, not by lagging reports

Cause: in the burst, long summaries missed their deadline although round robin missed none. Load reports are up to 800 ms old, every entry sees the same ones, and all of them sent to the same upstream at once. With a lost VM, two random candidates kept drawing the silent ones. Change: all candidates weighed by own load, slowness beyond a dead zone, and silence of an upstream that has work of ours; overdue work is started elsewhere only if its upstream is silent.

--- a/bench/policy.cpp
+++ b/bench/policy.cpp
@@ -128,6 +128,8 @@
             sums[name].attained_ += outcome.attained_;
             sums[name].sentInWindow_ += outcome.sentInWindow_;
             sums[name].attainedInWindow_ += outcome.attainedInWindow_;
+            for (const auto &[id, count] : outcome.errors_)
+                sums[name].errors_[id] += count;
         }
         for (const auto &[stage, value] : report.costByStage_)
             cost[stage] += value;
@@ -136,6 +138,11 @@
         std::printf("%s,%s,%s,%d,%.4f,%.4f,\n", item.name_, named.name_, name.c_str(), sum.sent_,
                     static_cast<double>(sum.attained_) / std::max(1, sum.sent_),
                     static_cast<double>(sum.attainedInWindow_) / std::max(1, sum.sentInWindow_));
+    for (const auto &[name, sum] : sums) {
+        for (const auto &[id, count] : sum.errors_)
+            std::printf("%s,%s,error %s CS-%d,%d,,,\n", item.name_, named.name_, name.c_str(), id,
+                        count);
+    }
     for (const auto &[stage, value] : cost)
         std::printf("%s,%s,stage %s,,,,%.1f\n", item.name_, named.name_, stage.c_str(), value);
     std::fflush(stdout);
--- a/bench/virtual_town.cpp
+++ b/bench/virtual_town.cpp
@@ -233,6 +233,8 @@
             VirtualOutcome &outcome = report_.loads_[pending.load_];
             const bool attained = answer->errorId_ == 0 && now_ <= pending.deadline_;
             outcome.attained_ += attained;
+            if (!attained)
+                ++outcome.errors_[answer->errorId_];
             outcome.attainedInWindow_ += attained && pending.inWindow_;
         } else if (auto *measured = std::get_if<StageMeasured>(&effect)) {
             report_.costByStage_[measured->stage_] += measured->cost_;
--- a/bench/virtual_town.hpp
+++ b/bench/virtual_town.hpp
@@ -71,6 +71,7 @@
     int attained_ = 0;
     int attainedInWindow_ = 0; ///< of requests sent while a fault or burst lasted
     int sentInWindow_ = 0;
+    std::map<int, int> errors_; ///< by error id; 0: answered late
 };
 
 /// @brief Outcome of a run.
--- a/packages/decision/include/chervilspring/detail/entry/entry.hpp
+++ b/packages/decision/include/chervilspring/detail/entry/entry.hpp
@@ -144,9 +144,8 @@
 struct UpstreamEstimate
 {
     std::uint32_t inFlight_ = 0; ///< this shard's own attempts
-    std::uint32_t reported_ = 0; ///< queued and running in the newest report
-    std::uint32_t ownAtReport_ = 0; ///< inFlight_ when the report came
-    Instant reportedAt_{};
+    Instant heardAt_{}; ///< any message from the agent
+    Instant busySince_{}; ///< inFlight_ became positive
     nanoseconds serviceTime_{0}; ///< moving mean over all kinds of work, 0: unknown
     double slowness_ = 1; ///< moving mean of service time over the stage's usual one
     std::uint32_t failures_ = 0; ///< in a row
--- a/packages/decision/include/chervilspring/detail/entry/routing.hpp
+++ b/packages/decision/include/chervilspring/detail/entry/routing.hpp
@@ -40,6 +40,10 @@
 /// @brief Smallest time in which the remaining stages can be expected to finish.
 nanoseconds expectedTotal(EntryState &state, Instant now, const Request &request);
 
+/// @brief Whether an upstream that has work of this entry has said nothing for longer than its
+/// pings explain.
+bool isSilent(const UpstreamEstimate &estimate, Instant now);
+
 /// @brief Takes a load report into account.
 void noteLoad(EntryState &state, Instant now, const std::string &upstream, const Load &load);
 
--- a/packages/decision/src/entry/entry.cpp
+++ b/packages/decision/src/entry/entry.cpp
@@ -128,6 +128,7 @@
         inquire(context, *request);
         return;
     }
+    context.state_.estimates_[request->attempt_.upstream_].heardAt_ = context.now_;
     const std::size_t skip = request->tokens_ - chunk.offset_;
     if (skip >= chunk.tokens_.size())
         return;
@@ -277,7 +278,10 @@
     const bool streaming = request.tokens_ > 0;
     const auto &others =
         candidatesFor(context.state_, *request.pipeline_, request.stage_, request.policy_);
-    const bool worthwhile = left > minHedgeTime && others.size() > 1 && !streaming;
+    // An upstream that answers its pings is only busy: elsewhere the work would start anew.
+    const bool silent =
+        isSilent(context.state_.estimates_[request.attempt_.upstream_], context.now_);
+    const bool worthwhile = silent && left > minHedgeTime && others.size() > 1 && !streaming;
     if (worthwhile && takeRetry(context.state_, request.pipeline_->name_)) {
         noteFailure(context.state_, context.now_, request.attempt_.upstream_);
         decide(context, request, "overdue=retry_elsewhere");
--- a/packages/decision/src/entry/flow.cpp
+++ b/packages/decision/src/entry/flow.cpp
@@ -65,7 +65,9 @@
 void openAttempt(FlowContext &context, Request &request)
 {
     request.attempt_.open_ = true;
-    ++context.state_.estimates_[request.attempt_.upstream_].inFlight_;
+    UpstreamEstimate &estimate = context.state_.estimates_[request.attempt_.upstream_];
+    if (estimate.inFlight_++ == 0)
+        estimate.busySince_ = context.now_;
 }
 
 void closeAttempt(FlowContext &context, Request &request)
--- a/packages/decision/src/entry/routing.cpp
+++ b/packages/decision/src/entry/routing.cpp
@@ -3,21 +3,23 @@
 #include "chervilspring/digest.hpp"
 
 #include <algorithm>
-#include <cmath>
 
 namespace chervilspring {
 
 namespace {
 
 constexpr std::size_t maxSubset = 24; // upstreams of one stage that one entry talks to
-constexpr nanoseconds reportHalfLife = milliseconds(300);
 constexpr nanoseconds otherDataCenter = microseconds(500); // one way
 constexpr nanoseconds slowStart = seconds(2);
 constexpr std::uint32_t failuresToEject = 3;
 constexpr nanoseconds ejection = seconds(2);
+constexpr nanoseconds usualSilence = milliseconds(600); // active connections are pinged at 400 ms
+constexpr int silenceWeight = 4;
+constexpr std::size_t maxWeighedShown = 4; // candidates kept for explanations
 constexpr int upstreamWeight = 8; // moving mean over about this many attempts
 constexpr int stageWeight = 64;
-constexpr double crowding = 0.5; // added to the service time at full concurrency
+constexpr double crowding = 1.0; // added to the service time at full concurrency
+constexpr double usualSpread = 1.5; // slowness that differing work and batches explain
 constexpr double minSlowness = 0.1;
 constexpr double maxSlowness = 20;
 constexpr double maxEjectedShare = 0.5;
@@ -47,12 +49,6 @@
     list.resize(maxSubset);
 }
 
-double ageFactor(nanoseconds age)
-{
-    return std::exp2(-static_cast<double>(age.count())
-                     / static_cast<double>(reportHalfLife.count()));
-}
-
 bool ejected(const EntryState &state, const Upstream &upstream, Instant now)
 {
     const auto found = state.estimates_.find(upstream.name_);
@@ -79,15 +75,31 @@
     return untried.empty() ? healthy : untried;
 }
 
+// Small differences are noise; to follow them would crowd whoever was lucky last.
+double slowFactor(const UpstreamEstimate &estimate)
+{
+    return estimate.slowness_ > usualSpread ? estimate.slowness_ : 1;
+}
+
+// Time without any message from an upstream that has work of this entry.
+nanoseconds silenceOf(const UpstreamEstimate &estimate, Instant now)
+{
+    if (estimate.inFlight_ == 0)
+        return nanoseconds(0);
+    return now - std::max(estimate.heardAt_, estimate.busySince_);
+}
+
 double scoreOf(EntryState &state, Instant now, const Request &request, const Upstream &upstream)
 {
     const UpstreamEstimate &estimate = state.estimates_[upstream.name_];
     const nanoseconds usual = usualServiceTime(state, *request.pipeline_, request.stage_);
     nanoseconds time = expectedTime(estimate, upstream, usual, now);
+    if (isSilent(estimate, now))
+        time += silenceOf(estimate, now) * silenceWeight;
     if (upstream.dataCenter_ != state.settings_.dataCenter_)
         time += 2 * otherDataCenter;
     const double milliseconds = static_cast<double>(time.count()) / 1e6;
-    const double service = static_cast<double>(usual.count()) / 1e6 * estimate.slowness_;
+    const double service = static_cast<double>(usual.count()) / 1e6 * slowFactor(estimate);
     // With a cost weight, slow service counts beside the expected answer time.
     return milliseconds + service * request.policy_.costWeight_ / 100.0;
 }
@@ -118,26 +130,34 @@
     return route;
 }
 
-// Weighs two random candidates, so that a lagging report doesn't draw every request to one place.
+struct Scored
+{
+    const Upstream *upstream_;
+    double score_;
+};
+
+// Weighs all candidates, from a random start so that equals share the work. The own attempts count
+// at once, so a lagging report doesn't draw everything to one place.
 Route routeByCost(EntryState &state, Instant now, const Request &request,
                   const std::vector<const Upstream *> &list)
 {
-    Route route;
-    const std::size_t first = state.random_() % list.size();
-    const std::size_t step = list.size() > 1 ? 1 + state.random_() % (list.size() - 1) : 0;
-    const Upstream *one = list[first];
-    const Upstream *other = list[(first + step) % list.size()];
-    const double oneScore = scoreOf(state, now, request, *one);
-    const double otherScore = scoreOf(state, now, request, *other);
-    const bool swap = otherScore < oneScore;
-    route.upstream_ = swap ? other : one;
-    route.decision_.weighed_ = {{one->name_, oneScore}, {other->name_, otherScore}};
-    route.decision_.runnerUp_ = (swap ? one : other)->name_;
-    if (one == other) {
-        route.decision_.weighed_.pop_back();
-        route.decision_.runnerUp_.clear();
+    std::vector<Scored> scored;
+    const std::size_t start = state.random_() % list.size();
+    for (std::size_t i = 0; i < list.size(); ++i) {
+        const Upstream *candidate = list[(start + i) % list.size()];
+        scored.push_back(Scored{candidate, scoreOf(state, now, request, *candidate)});
     }
-    route.decision_.reason_ = list.size() == 1 ? "only_candidate" : "lower_expected_time";
+    const std::size_t shown = std::min(scored.size(), maxWeighedShown);
+    std::partial_sort(scored.begin(), scored.begin() + static_cast<std::ptrdiff_t>(shown),
+                      scored.end(),
+                      [](const Scored &a, const Scored &b) { return a.score_ < b.score_; });
+    Route route;
+    route.upstream_ = scored[0].upstream_;
+    route.decision_.reason_ = list.size() == 1 ? "only_candidate" : "lowest_expected_time";
+    if (scored.size() > 1)
+        route.decision_.runnerUp_ = scored[1].upstream_->name_;
+    for (std::size_t i = 0; i < shown; ++i)
+        route.decision_.weighed_.push_back({scored[i].upstream_->name_, scored[i].score_});
     return route;
 }
 
@@ -175,14 +195,12 @@
 nanoseconds expectedTime(const UpstreamEstimate &estimate, const Upstream &upstream,
                          nanoseconds usual, Instant now)
 {
-    const double service = static_cast<double>(usual.count()) * estimate.slowness_;
+    const double service = static_cast<double>(usual.count()) * slowFactor(estimate);
     const double mean = estimate.serviceTime_ > nanoseconds(0)
         ? static_cast<double>(estimate.serviceTime_.count())
         : service;
-    // Load that others put there fades with the age of the report; the own load is exact.
-    const std::uint32_t foreign =
-        estimate.reported_ > estimate.ownAtReport_ ? estimate.reported_ - estimate.ownAtReport_ : 0;
-    const double load = estimate.inFlight_ + foreign * ageFactor(now - estimate.reportedAt_);
+    // Only the own load: load reports lag, and every entry would follow the same ones at once.
+    const double load = estimate.inFlight_;
     const double slots = std::max(1u, upstream.concurrency_);
     // Work beside others takes longer; work beyond the concurrency waits for a slot.
     double time = service * (1 + crowding * std::min(1.0, load / slots));
@@ -228,12 +246,15 @@
     return route;
 }
 
+bool isSilent(const UpstreamEstimate &estimate, Instant now)
+{
+    return silenceOf(estimate, now) > usualSilence;
+}
+
 void noteLoad(EntryState &state, Instant now, const std::string &upstream, const Load &load)
 {
     UpstreamEstimate &estimate = state.estimates_[upstream];
-    estimate.reported_ = load.queued_ + load.running_;
-    estimate.ownAtReport_ = estimate.inFlight_;
-    estimate.reportedAt_ = now;
+    estimate.heardAt_ = now;
     if (load.serviceTime_ > nanoseconds(0))
         estimate.serviceTime_ = load.serviceTime_;
 }
