Ping connections that carry only heartbeats as idle ones

Cause: the leader's messages grew by 12 a second for each node, against 2 that the protocol needs. Every heartbeat marked its connection as carrying work, so both sides pinged it every 400 ms. Ruled out: the heartbeats themselves (1 a second and its answer). Change: heartbeats and their answers don't count as work.

--- a/packages/server/src/peer_network.cpp
+++ b/packages/server/src/peer_network.cpp
@@ -32,6 +32,13 @@
 constexpr std::size_t maxQueuedBytes = 128u << 20;
 constexpr std::size_t handshakeBytes = 256;
 
+// Heartbeats repeat by themselves; they don't need a connection that is pinged often.
+bool isWork(const Message &message)
+{
+    return !std::holds_alternative<Ping>(message) && !std::holds_alternative<Heartbeat>(message)
+        && !std::holds_alternative<HeartbeatReply>(message);
+}
+
 void logRejected(const Error &error, const std::string &remote)
 {
     writeLog(LogLevel::Warn, "connection refused " + toString(error) + " remote=" + remote);
@@ -303,7 +310,7 @@
             BOOST_LEAF_AUTO(message, decodeMessage(frame.payload_));
             if (const auto *ping = std::get_if<Ping>(&message))
                 onPing(link, *ping);
-            else
+            else if (isWork(message))
                 link->usedAt_ = BootClock::now();
             handlers_.message_(link->peer_.name_, std::move(message));
             return {};
@@ -331,7 +338,7 @@
 {
     const Instant now = BootClock::now();
     std::string frame = makeFrame(now, encodeMessage(message));
-    if (!std::holds_alternative<Ping>(message))
+    if (isWork(message))
         link->usedAt_ = now;
     ++traffic_.messagesSent_;
     traffic_.bytesSent_ += frame.size();
