--- a/Makefile
+++ b/Makefile
@@ -24,7 +24,7 @@
 	$(BUILD)/bin/demo examples $(BUILD)/bin demo-run
 
 bench: build
-	$(BUILD)/bin/bench_all $(BUILD)/bin examples bench/results
+	./bench/run $(BUILD)/bin bench/results
 
 FORMATTED = $(shell git ls-files '*.hpp' '*.cpp')
 
--- /dev/null
+++ b/packages/decision/src/control/consensus_replication.cpp
@@ -0,0 +1,267 @@
+#include "chervilspring/detail/control/consensus_steps.hpp"
+
+#include <algorithm>
+
+namespace chervilspring {
+
+namespace {
+
+constexpr std::size_t maxEntriesPerMessage = 128;
+constexpr int heartbeatsPerTimeout = 6;
+constexpr auto snapshotRetry = seconds(2);
+
+AppendRequest makeAppend(const ConsensusState &state, std::uint64_t previous)
+{
+    AppendRequest request;
+    request.cluster_ = state.hard_.cluster_;
+    request.term_ = state.hard_.term_;
+    request.leader_ = state.settings_.self_.id_;
+    request.previousIndex_ = previous;
+    request.previousTerm_ = termAt(state, previous).value_or(0);
+    request.commit_ = state.commit_;
+    request.round_ = state.round_;
+    return request;
+}
+
+} // namespace
+
+void sendAppend(ConsensusState &state, Instant now, std::uint64_t member, ConsensusOutput &output)
+{
+    Progress &progress = state.progress_[member];
+    if (progress.next_ <= state.baseIndex_) {
+        if (now - progress.snapshotSent_ >= snapshotRetry)
+            output.wantSnapshot_.push_back(member);
+        // An empty request at the base still confirms the leadership.
+        sendNow(state, member, makeAppend(state, state.baseIndex_), output);
+        return;
+    }
+    AppendRequest request = makeAppend(state, progress.next_ - 1);
+    while (progress.next_ <= lastIndex(state) && request.entries_.size() < maxEntriesPerMessage) {
+        request.entries_.push_back(state.log_[progress.next_ - state.baseIndex_ - 1]);
+        ++progress.next_;
+    }
+    sendNow(state, member, std::move(request), output);
+}
+
+void broadcast(ConsensusState &state, Instant now, ConsensusOutput &output)
+{
+    ++state.round_;
+    state.roundSent_.emplace_back(state.round_, now);
+    state.heartbeatAt_ = now + state.settings_.electionTimeout_ / heartbeatsPerTimeout;
+    for (const Member &member : members(state)) {
+        if (member.id_ == state.settings_.self_.id_)
+            continue;
+        sendAppend(state, now, member.id_, output);
+    }
+}
+
+namespace {
+
+// The value that at least a quorum of the voters has reached.
+template<typename Value>
+std::uint64_t quorumValue(const ConsensusState &state, std::uint64_t own, Value value)
+{
+    std::vector<std::uint64_t> values;
+    for (const Member &member : members(state)) {
+        if (!member.voter_)
+            continue;
+        const auto found = state.progress_.find(member.id_);
+        if (member.id_ == state.settings_.self_.id_)
+            values.push_back(own);
+        else
+            values.push_back(found == state.progress_.end() ? 0 : value(found->second));
+    }
+    if (values.empty())
+        return 0;
+    std::sort(values.begin(), values.end(), std::greater<>());
+    return values[quorum(state) - 1];
+}
+
+} // namespace
+
+void advanceCommit(ConsensusState &state, ConsensusOutput &output)
+{
+    const std::uint64_t index =
+        quorumValue(state, state.syncedIndex_, [](const Progress &p) { return p.match_; });
+    // Only entries of the own term are committed by counting.
+    if (index > state.commit_ && termAt(state, index) == state.hard_.term_)
+        commitUpTo(state, index, output);
+}
+
+namespace {
+
+void finishReads(ConsensusState &state, std::uint64_t confirmedRound, ConsensusOutput &output)
+{
+    if (state.commit_ < state.termStart_)
+        return;
+    std::erase_if(state.reads_, [&](const PendingRead &read) {
+        if (read.round_ > confirmedRound)
+            return false;
+        output.readsDone_.push_back(read.token_);
+        return true;
+    });
+}
+
+} // namespace
+
+void confirmLeadership(ConsensusState &state, ConsensusOutput &output)
+{
+    const std::uint64_t confirmed =
+        quorumValue(state, state.round_, [](const Progress &p) { return p.ackedRound_; });
+    while (!state.roundSent_.empty() && state.roundSent_.front().first <= confirmed) {
+        state.quorumContact_ = std::max(state.quorumContact_, state.roundSent_.front().second);
+        state.roundSent_.pop_front();
+    }
+    finishReads(state, confirmed, output);
+}
+
+namespace {
+
+AppendReply makeAppendReply(const ConsensusState &state, const AppendRequest &request)
+{
+    AppendReply reply;
+    reply.cluster_ = request.cluster_;
+    reply.term_ = state.hard_.term_;
+    reply.member_ = state.settings_.self_.id_;
+    reply.round_ = request.round_;
+    return reply;
+}
+
+// Index from which the leader should try again after a mismatch.
+std::uint64_t mismatchHint(const ConsensusState &state, std::uint64_t previous)
+{
+    if (previous > lastIndex(state))
+        return lastIndex(state);
+    const auto conflicting = termAt(state, previous);
+    std::uint64_t index = previous;
+    while (index > state.commit_ && termAt(state, index) == conflicting)
+        --index;
+    return index;
+}
+
+void storeEntries(ConsensusState &state, const AppendRequest &request, ConsensusOutput &output)
+{
+    PersistBatch batch;
+    for (const LogEntry &entry : request.entries_) {
+        if (entry.index_ <= state.baseIndex_ || entry.index_ <= state.commit_)
+            continue;
+        if (termAt(state, entry.index_) == entry.term_)
+            continue;
+        if (entry.index_ <= lastIndex(state)) {
+            batch.truncateFrom_ = entry.index_;
+            state.log_.resize(entry.index_ - state.baseIndex_ - 1);
+            state.syncedIndex_ = std::min(state.syncedIndex_, entry.index_ - 1);
+            for (auto &[sequence, index] : state.unsynced_)
+                index = std::min(index, entry.index_ - 1);
+            forgetMembersFrom(state, entry.index_, output);
+        }
+        state.log_.push_back(entry);
+        batch.entries_.push_back(entry);
+        noteMembers(state, entry, output);
+    }
+    if (!batch.entries_.empty())
+        persist(state, std::move(batch), output);
+}
+
+} // namespace
+
+void onAppendRequest(ConsensusState &state, Instant now, const std::string &from,
+                     const AppendRequest &request, ConsensusOutput &output)
+{
+    if (!sameCluster(state, request.cluster_))
+        return;
+    AppendReply reply = makeAppendReply(state, request);
+    if (request.term_ < state.hard_.term_) {
+        sendAfterSync(state, from, reply, output);
+        return;
+    }
+    if (state.hard_.cluster_ == 0) {
+        state.hard_.cluster_ = request.cluster_;
+        persistHardState(state, output);
+    }
+    becomeFollower(state, now, request.term_, request.leader_, output);
+    state.lastLeaderContact_ = now;
+    reply.term_ = state.hard_.term_;
+    const bool covered = request.previousIndex_ <= state.commit_;
+    if (!covered && termAt(state, request.previousIndex_) != request.previousTerm_) {
+        reply.match_ = mismatchHint(state, request.previousIndex_);
+        sendAfterSync(state, from, reply, output);
+        return;
+    }
+    storeEntries(state, request, output);
+    reply.success_ = true;
+    reply.match_ = request.previousIndex_ + request.entries_.size();
+    if (reply.match_ <= lastIndex(state))
+        commitUpTo(state, std::min(request.commit_, reply.match_), output);
+    sendAfterSync(state, from, reply, output);
+}
+
+void onAppendReply(ConsensusState &state, Instant now, const AppendReply &reply,
+                   ConsensusOutput &output)
+{
+    if (reply.cluster_ != state.hard_.cluster_)
+        return;
+    if (reply.term_ > state.hard_.term_) {
+        becomeFollower(state, now, reply.term_, 0, output);
+        return;
+    }
+    if (state.role_ != MemberRole::Leader || reply.term_ != state.hard_.term_)
+        return;
+    const auto found = state.progress_.find(reply.member_);
+    if (found == state.progress_.end())
+        return;
+    Progress &progress = found->second;
+    progress.lastHeard_ = now;
+    progress.ackedRound_ = std::max(progress.ackedRound_, reply.round_);
+    if (reply.success_) {
+        progress.match_ = std::max(progress.match_, reply.match_);
+        progress.next_ = std::max(progress.next_, progress.match_ + 1);
+        advanceCommit(state, output);
+    } else {
+        progress.next_ = std::max(progress.match_, reply.match_) + 1;
+    }
+    confirmLeadership(state, output);
+    if (progress.next_ <= lastIndex(state) && progress.next_ > state.baseIndex_)
+        sendAppend(state, now, reply.member_, output);
+}
+
+void onInstallSnapshot(ConsensusState &state, Instant now, const std::string &from,
+                       const InstallSnapshot &install, ConsensusOutput &output)
+{
+    const Snapshot &snapshot = install.snapshot_;
+    if (!sameCluster(state, snapshot.cluster_) || install.term_ < state.hard_.term_)
+        return;
+    becomeFollower(state, now, install.term_, install.leader_, output);
+    state.lastLeaderContact_ = now;
+    const bool inLog = termAt(state, snapshot.lastIndex_) == snapshot.lastTerm_;
+    if (inLog) {
+        // Entries behind the snapshot may already count for a commit: keep them.
+        commitUpTo(state, snapshot.lastIndex_, output);
+    } else if (snapshot.lastIndex_ > state.commit_) {
+        state.hard_.cluster_ = snapshot.cluster_;
+        state.log_.clear();
+        state.baseIndex_ = state.snapshotIndex_ = snapshot.lastIndex_;
+        state.baseTerm_ = snapshot.lastTerm_;
+        state.commit_ = state.applied_ = snapshot.lastIndex_;
+        state.unsynced_.clear();
+        state.syncedIndex_ = 0;
+        state.memberLists_ = {MemberList{snapshot.lastIndex_, snapshot.members_}};
+        adoptRoleFromMembers(state, output);
+        decide(output, state, "restored=snapshot index=" + std::to_string(snapshot.lastIndex_));
+        PersistBatch batch;
+        batch.hardState_ = state.hard_;
+        batch.truncateFrom_ = 1;
+        batch.snapshot_ = snapshot;
+        persist(state, std::move(batch), output);
+        output.restored_ = snapshot;
+    }
+    AppendReply reply;
+    reply.cluster_ = state.hard_.cluster_;
+    reply.term_ = state.hard_.term_;
+    reply.member_ = state.settings_.self_.id_;
+    reply.success_ = true;
+    reply.match_ = snapshot.lastIndex_;
+    sendAfterSync(state, from, reply, output);
+}
+
+} // namespace chervilspring
