--- a/packages/decision/include/chervilspring/detail/entry/flow.hpp
+++ b/packages/decision/include/chervilspring/detail/entry/flow.hpp
@@ -58,6 +58,9 @@
 /// @brief The deadline has passed.
 void finishLate(FlowContext &context, Request &request);
 
+/// @brief The current attempt no longer loads its upstream.
+void closeAttempt(FlowContext &context, Request &request);
+
 /// @brief Gives the current attempt up, if it may be given up.
 void cancelAttempt(FlowContext &context, Request &request);
 
--- a/packages/decision/src/entry/entry.cpp
+++ b/packages/decision/src/entry/entry.cpp
@@ -70,10 +70,7 @@
     }
     if (!request.followsForeign_) {
         noteSuccess(context.state_, request, result.serviceTime_);
-        UpstreamEstimate &estimate = context.state_.estimates_[request.attempt_.upstream_];
-        if (request.attempt_.open_ && estimate.inFlight_ > 0)
-            --estimate.inFlight_;
-        request.attempt_.open_ = false;
+        closeAttempt(context, request);
     }
     const bool streamed = !request.followsForeign_ && stageOf(request).stream_;
     finishStage(context, request, streamed ? request.streamText_ : result.body_);
@@ -84,11 +81,11 @@
     if (result.kind_ == ResultKind::NotRun || request.followsForeign_)
         return;
     const StageSpec &stage = stageOf(request);
-    const double seconds = static_cast<double>(result.serviceTime_.count()) / 1e9;
-    context.effects_.push_back(StageMeasured{request.pipeline_->name_, request.account_,
-                                             stage.name_, result.kind_ == ResultKind::Ok,
-                                             context.now_ - request.attempt_.sent_,
-                                             result.serviceTime_, seconds * stage.costPerSecond_});
+    const double serviceSeconds = static_cast<double>(result.serviceTime_.count()) / 1e9;
+    context.effects_.push_back(
+        StageMeasured{request.pipeline_->name_, request.account_, stage.name_,
+                      result.kind_ == ResultKind::Ok, context.now_ - request.attempt_.sent_,
+                      result.serviceTime_, serviceSeconds * stage.costPerSecond_});
 }
 
 void onResult(FlowContext &context, const std::string &peer, const AttemptResult &result)
--- a/packages/decision/src/entry/flow.cpp
+++ b/packages/decision/src/entry/flow.cpp
@@ -70,16 +70,6 @@
         estimate.busySince_ = context.now_;
 }
 
-void closeAttempt(FlowContext &context, Request &request)
-{
-    if (!request.attempt_.open_)
-        return;
-    request.attempt_.open_ = false;
-    UpstreamEstimate &estimate = context.state_.estimates_[request.attempt_.upstream_];
-    if (estimate.inFlight_ > 0)
-        --estimate.inFlight_;
-}
-
 void noteRoute(FlowContext &context, Request &request, const Route &route)
 {
     std::string text = "decision=route request=" + toString(request.id_) + " stage="
@@ -220,6 +210,16 @@
         + " attempt=" + std::to_string(request.attempt_.number_) + " " + text});
 }
 
+void closeAttempt(FlowContext &context, Request &request)
+{
+    if (!request.attempt_.open_)
+        return;
+    request.attempt_.open_ = false;
+    UpstreamEstimate &estimate = context.state_.estimates_[request.attempt_.upstream_];
+    if (estimate.inFlight_ > 0)
+        --estimate.inFlight_;
+}
+
 void drop(FlowContext &context, Request &request)
 {
     closeAttempt(context, request);
--- a/packages/server/src/metrics.cpp
+++ b/packages/server/src/metrics.cpp
@@ -125,7 +125,8 @@
 void Metrics::add(const RequestMeasured &measured)
 {
     const std::lock_guard lock(mutex_);
-    const bool known = !measured.account_.empty() && measured.errorId_ != 2003;
+    const bool known = !measured.account_.empty()
+        && measured.errorId_ != static_cast<std::uint16_t>(ErrorId::UnknownPipeline);
     const RequestLabel label = known ? RequestLabel{measured.pipeline_, measured.account_}
                                      : RequestLabel{"unknown", "unknown"};
     RequestRow &row = rowFor(tables_->requests_, label);
