Show queues in chervilctl status

Cause: status named nodes and versions, not what waits at each upstream. Change: an agent's heartbeat carries its load; status shows queued and running. The heartbeat grew by one small struct; the slopes of CAPACITY.md were taken before and not again.

--- a/apps/chervilctl/print.cpp
+++ b/apps/chervilctl/print.cpp
@@ -77,6 +77,8 @@
                 {"VIEW", "view_version"},
                 {"IN FORCE", "in_force"},
                 {"SILENT MS", "silent_ms"},
+                {"QUEUED", "queued"},
+                {"RUNNING", "running"},
                 {"SHARE", "share"}});
     std::cout << "\nUPSTREAMS\n";
     printTable(status.at("upstreams").as_array(),
--- a/packages/core/include/chervilspring/messages.hpp
+++ b/packages/core/include/chervilspring/messages.hpp
@@ -359,8 +359,9 @@
     std::optional<Upstream> upstream_; ///< filled by agents
     bool isEntry_ = false;
     std::uint32_t share_ = 0; ///< share of fleet-wide limits that the entry holds, in millionths
+    Load load_; ///< filled by agents
 };
-BOOST_DESCRIBE_STRUCT(Heartbeat, (), (node_, viewVersion_, upstream_, isEntry_, share_))
+BOOST_DESCRIBE_STRUCT(Heartbeat, (), (node_, viewVersion_, upstream_, isEntry_, share_, load_))
 
 /// @brief The whole of a fleet-wide limit, in the unit of shares.
 inline constexpr std::uint32_t wholeShare = 1'000'000;
--- a/packages/decision/include/chervilspring/detail/control/control.hpp
+++ b/packages/decision/include/chervilspring/detail/control/control.hpp
@@ -71,6 +71,7 @@
     bool isAgent_ = false;
     bool isEntry_ = false;
     std::uint64_t agentBoot_ = 0;
+    Load load_; ///< of an agent's upstream
     std::uint32_t share_ = 0; ///< granted share of fleet-wide limits, in millionths
     Instant shareExpires_{};
     std::optional<Upstream> proposed_; ///< newest announcement handed to the log
--- a/packages/decision/include/chervilspring/detail/node/node.hpp
+++ b/packages/decision/include/chervilspring/detail/node/node.hpp
@@ -28,6 +28,13 @@
 };
 BOOST_DESCRIBE_STRUCT(AnnouncementChanged, (), (upstream_))
 
+/// @brief Load of the local upstream, for the next heartbeat; agents only.
+struct LoadChanged
+{
+    Load load_;
+};
+BOOST_DESCRIBE_STRUCT(LoadChanged, (), (load_))
+
 /// @brief A peer was seen to hold a newer version than this node.
 struct NewerVersionSeen
 {
@@ -37,7 +44,7 @@
 BOOST_DESCRIBE_STRUCT(NewerVersionSeen, (), (peer_, version_))
 
 using NodeEvent = std::variant<PeerMessage, PeerLost, SubmitProposal, AnnouncementChanged,
-                               NewerVersionSeen, Wake>;
+                               LoadChanged, NewerVersionSeen, Wake>;
 using NodeEffect = std::variant<SendToPeer, ViewChanged, ProposalAnswered, DecisionLine>;
 using NodeEffects = std::vector<NodeEffect>;
 
@@ -62,6 +69,7 @@
     std::string leader_; ///< best guess
     std::size_t nextGuess_ = 0;
     std::optional<Upstream> upstream_;
+    Load load_;
     Instant heartbeatAt_{};
     std::map<std::string, Instant> heartbeatSent_; ///< oldest unanswered, by peer
     std::map<std::uint64_t, PendingProposal> proposals_; ///< by sequence
--- a/packages/decision/src/control/control.cpp
+++ b/packages/decision/src/control/control.cpp
@@ -90,9 +90,12 @@
         state.founding_ = state.fleet_.view_.fleetVersion_ == 0;
         // Every agent gets a whole lease to find the new leader.
         state.nodes_.clear();
-        for (const Upstream &upstream : state.fleet_.view_.upstreams_)
-            state.nodes_[upstream.name_] = NodeStatus{
-                now, 0, true, false, upstream.agentBoot_, 0, Instant{}, std::nullopt, Instant{}};
+        for (const Upstream &upstream : state.fleet_.view_.upstreams_) {
+            NodeStatus &node = state.nodes_[upstream.name_];
+            node.lastHeard_ = now;
+            node.isAgent_ = true;
+            node.agentBoot_ = upstream.agentBoot_;
+        }
     }
     state.roleBefore_ = role;
 }
@@ -233,6 +236,7 @@
     node.viewVersion_ = heartbeat.viewVersion_;
     node.isAgent_ = heartbeat.upstream_.has_value();
     node.isEntry_ = heartbeat.isEntry_;
+    node.load_ = heartbeat.load_;
     node.agentBoot_ = heartbeat.upstream_ ? heartbeat.upstream_->agentBoot_ : 0;
     HeartbeatReply reply;
     reply.leader_ = leaderName(state);
--- a/packages/decision/src/node/node.cpp
+++ b/packages/decision/src/node/node.cpp
@@ -41,6 +41,7 @@
     heartbeat.node_ = state.settings_.name_;
     heartbeat.viewVersion_ = state.view_->version_;
     heartbeat.upstream_ = state.upstream_;
+    heartbeat.load_ = state.load_;
     heartbeat.isEntry_ = state.settings_.isEntry_;
     heartbeat.share_ = state.shareExpires_ > now ? state.share_ : 0;
     return heartbeat;
@@ -247,6 +248,7 @@
                        state.heartbeatAt_ = now;
                        onWake(state, now, effects);
                    },
+                   [&](const LoadChanged &e) { state.load_ = e.load_; },
                    [&](const NewerVersionSeen &e) {
                        if (e.version_ > state.view_->version_)
                            sendHeartbeat(state, now, e.peer_, effects);
--- a/packages/server/src/agent_thread.cpp
+++ b/packages/server/src/agent_thread.cpp
@@ -304,6 +304,8 @@
         return;
     }
     handle(event);
+    // Upstreams repeat themselves about as often as heartbeats go out.
+    node_.post(LoadChanged{currentLoad(state_)});
     exchange->answer(HttpAnswer{200, "application/json", {}, "{}"});
 }
 
--- a/packages/server/src/control_thread.cpp
+++ b/packages/server/src/control_thread.cpp
@@ -277,6 +277,8 @@
                                             {"view_version", node.viewVersion_},
                                             {"in_force", node.viewVersion_ >= view.fleetVersion_},
                                             {"silent_ms", silent / milliseconds(1)},
+                                            {"queued", node.load_.queued_},
+                                            {"running", node.load_.running_},
                                             {"share", node.share_}});
     }
     body["nodes"] = nodes;
--- a/packages/wire/schema/fleet.capnp
+++ b/packages/wire/schema/fleet.capnp
@@ -344,6 +344,7 @@
   upstream @2 :Upstream;
   isEntry @3 :Bool;
   share @4 :UInt32;
+  load @5 :Load;
 }
 
 struct ViewUpdate {
