--- a/apps/chervilspringd/main.cpp
+++ b/apps/chervilspringd/main.cpp
@@ -1,15 +1,18 @@
 /// @file
 /// @brief Command line of chervilspringd.
 #include "chervilspring/process.hpp"
+#include "platform/protocol.hpp"
 
 #include <popt.h>
 
+#include <cstdlib>
 #include <iostream>
 
 namespace {
 
 constexpr int exitUsage = 1;
 constexpr int exitSettings = 2;
+constexpr char settingsVariable[] = "CHERVILSPRING_SETTINGS"; // used without --settings
 constexpr char version[] = "chervilspringd 0.1.0";
 
 struct Options
@@ -55,7 +58,7 @@
     if (!valid)
         return exitSettings;
     if (!onlyCheck)
-        return runProcess(settings);
+        return runProcess(settings, file, settings.routes_ ? &platform::protocol() : nullptr);
     std::cout << file << ": ok\n";
     return 0;
 }
@@ -79,6 +82,8 @@
         return loadAndRun(options.check_, true);
     if (options.settings_)
         return loadAndRun(options.settings_, false);
+    if (const char *file = std::getenv(settingsVariable))
+        return loadAndRun(file, false);
     std::cerr << "chervilspringd: --settings FILE or --check FILE is needed; see --help\n";
     return exitUsage;
 }
--- a/packages/core/include/chervilspring/messages.hpp
+++ b/packages/core/include/chervilspring/messages.hpp
@@ -227,6 +227,18 @@
 };
 BOOST_DESCRIBE_STRUCT(ApplyFleet, (), (operationId_, baseVersion_, fleet_))
 
+/// @brief Replaces the configuration by a document that carries a version of its own.
+///
+/// The highest version wins. A document of the version held is accepted again only if it is equal,
+/// and one of a lower version is accepted without effect: a later one has replaced it.
+struct ApplyDocument
+{
+    std::uint64_t documentVersion_ = 0;
+    std::string document_; ///< as the operator sent it
+    Fleet fleet_; ///< what the document means
+};
+BOOST_DESCRIBE_STRUCT(ApplyDocument, (), (documentVersion_, document_, fleet_))
+
 /// @brief Sets or removes a label of an upstream.
 struct SetLabel
 {
@@ -255,11 +267,20 @@
 
 /// @brief Forgets an upstream whose lease ran out. A newer boot id stays.
 struct RemoveUpstream
+{
+    std::string name_;
+    std::uint64_t agentBoot_ = 0;
+    bool departed_ = false; ///< it said so itself: late announcements of this boot are ignored
+};
+BOOST_DESCRIBE_STRUCT(RemoveUpstream, (), (name_, agentBoot_, departed_))
+
+/// @brief An upstream that said that it left.
+struct Departure
 {
     std::string name_;
     std::uint64_t agentBoot_ = 0;
 };
-BOOST_DESCRIBE_STRUCT(RemoveUpstream, (), (name_, agentBoot_))
+BOOST_DESCRIBE_STRUCT(Departure, (), (name_, agentBoot_))
 
 /// @brief Counts a crash against a request body.
 struct ReportCrash
@@ -298,7 +319,7 @@
 using Command =
     std::variant<Noop, ReserveRecord, CompleteRecord, ReassignRecord, ReleaseRecord, MarkUnknown,
                  SettleRecord, ApplyFleet, SetLabel, DrainUpstream, AnnounceUpstream,
-                 RemoveUpstream, ReportCrash, ClearSuspect, ChangeMembers>;
+                 RemoveUpstream, ReportCrash, ClearSuspect, ChangeMembers, ApplyDocument>;
 
 /// @brief One position of the replicated log.
 struct LogEntry
@@ -391,9 +412,10 @@
     bool granted_ = false; ///< share_ and shareLease_ are set
     std::uint32_t share_ = 0; ///< millionths of each fleet-wide limit
     nanoseconds shareLease_{0}; ///< counted from the sending of the heartbeat
+    std::vector<std::string> members_; ///< control processes in force; empty if unknown
 };
 BOOST_DESCRIBE_STRUCT(HeartbeatReply, (),
-                      (leader_, age_, fresh_, update_, granted_, share_, shareLease_))
+                      (leader_, age_, fresh_, update_, granted_, share_, shareLease_, members_))
 
 /// @brief Asks for a vote, or with pre_ whether one would be given.
 struct VoteRequest
@@ -464,10 +486,14 @@
     std::vector<Record> records_;
     std::vector<std::string> operationIds_; ///< oldest first, paired with operationOutcomes_
     std::vector<Outcome> operationOutcomes_;
+    std::uint64_t documentVersion_ = 0;
+    std::string document_;
+    std::vector<Departure> departures_; ///< oldest first
 };
 BOOST_DESCRIBE_STRUCT(Snapshot, (),
                       (cluster_, lastIndex_, lastTerm_, time_, members_, view_, records_,
-                       operationIds_, operationOutcomes_))
+                       operationIds_, operationOutcomes_, documentVersion_, document_,
+                       departures_))
 
 /// @brief Brings a member that is too far behind up to date.
 struct InstallSnapshot
@@ -493,14 +519,86 @@
 {
     std::uint64_t cluster_ = 0; ///< 0: blank disk
     Member member_;
+    std::string leader_; ///< name of the leader that the sender follows, empty if none
+};
+BOOST_DESCRIBE_STRUCT(Join, (), (cluster_, member_, leader_))
+
+/// @brief A part of a prompt that requests share.
+struct PromptPart
+{
+    std::string id_;
+    std::uint32_t tokens_ = 0;
+};
+BOOST_DESCRIBE_STRUCT(PromptPart, (), (id_, tokens_))
+
+/// @brief Asks a scheduler to have a request's stages done and to choose its model engine.
+struct PlanRequest
+{
+    std::string id_; ///< of the client attempt
+    std::string route_;
+    std::string pool_; ///< of the model engine
+    std::string account_;
+    std::uint32_t priority_ = 0; ///< 0 is first
+    nanoseconds untilObjective_{0};
+    nanoseconds untilDeadline_{0};
+    std::vector<std::uint32_t> pieceCounts_; ///< by stage; 0: the stage is left out
+    std::string pieceKey_;
+    std::uint32_t promptTokens_ = 0;
+    std::uint32_t outputTokens_ = 0; ///< expected
+    std::vector<PromptPart> parts_; ///< in prompt order
+    std::uint32_t round_ = 0; ///< counts how often this entry asked for the request
+    std::vector<std::string> avoid_; ///< upstreams that refused or failed it
+    bool remake_ = false; ///< the results handed out before are gone
+};
+BOOST_DESCRIBE_STRUCT(PlanRequest, (),
+                      (id_, route_, pool_, account_, priority_, untilObjective_, untilDeadline_,
+                       pieceCounts_, pieceKey_, promptTokens_, outputTokens_, parts_, round_,
+                       avoid_, remake_))
+
+/// @brief The request may run now, at this upstream, with these inputs.
+struct PlanGrant
+{
+    std::string id_;
+    std::uint32_t round_ = 0;
+    std::string upstream_;
+    std::uint64_t agentBoot_ = 0;
+    std::vector<std::string> inputs_; ///< handles of the results that the run needs
+};
+BOOST_DESCRIBE_STRUCT(PlanGrant, (), (id_, round_, upstream_, agentBoot_, inputs_))
+
+/// @brief The request can't be served in time; nothing of it ran at a model engine.
+struct PlanRefusal
+{
+    std::string id_;
+    std::uint32_t round_ = 0;
+    nanoseconds retryAfter_{0}; ///< when it probably can be served
+    std::string reason_;
+};
+BOOST_DESCRIBE_STRUCT(PlanRefusal, (), (id_, round_, retryAfter_, reason_))
+
+/// @brief The model engine has fetched the inputs and read the prompt of a granted request.
+struct PlanStarted
+{
+    std::string id_;
+    std::uint32_t round_ = 0;
+};
+BOOST_DESCRIBE_STRUCT(PlanStarted, (), (id_, round_))
+
+/// @brief A granted or given up request is over: its results and its place are free.
+struct PlanEnd
+{
+    std::string id_;
+    std::uint32_t round_ = 0;
+    bool served_ = false;
+    std::string detail_;
 };
-BOOST_DESCRIBE_STRUCT(Join, (), (cluster_, member_))
+BOOST_DESCRIBE_STRUCT(PlanEnd, (), (id_, round_, served_, detail_))
 
 /// @brief Everything that can stand in a frame. New alternatives go at the end.
 using Message =
     std::variant<Dispatch, Inquire, Cancel, AttemptResult, StreamChunk, AttemptState, Ping, Propose,
                  ProposeReply, Heartbeat, HeartbeatReply, VoteRequest, VoteReply, AppendRequest,
-                 AppendReply, InstallSnapshot, TimeoutNow, Join>;
+                 AppendReply, InstallSnapshot, TimeoutNow, Join, PlanRequest, PlanGrant, PlanRefusal, PlanStarted, PlanEnd>;
 
 /// @brief Helper to build a visitor from lambdas.
 template<typename... Ts> struct Overloaded : Ts...
--- a/packages/core/include/chervilspring/settings.hpp
+++ b/packages/core/include/chervilspring/settings.hpp
@@ -25,7 +25,7 @@
 };
 
 /// @brief Type of a setting.
-enum class SettingKind { Text, Number, Choice, Flag, AddressList };
+enum class SettingKind { Text, Number, Fraction, Choice, Flag, AddressList, Endpoints };
 
 /// @brief One row of a settings table.
 struct SettingSpec
@@ -93,8 +93,21 @@
     milliseconds nodeLease_{0};
     milliseconds replaceAfter_{0};
     std::uint32_t queueLimit_ = 0;
+    bool routes_ = false; ///< serves routes through the platform's adapter, without agents
+    std::uint16_t readyPort_ = 0; ///< asked by the platform's balancer; entries with routes only
+    std::uint16_t metricsPort_ = 0; ///< 0: not served on a port of their own
+    std::uint16_t controlPort_ = 0; ///< of every control process, if only seeds are known
+    bool openMembership_ = false; ///< control_ only says where to begin
+    bool firstStart_ = true; ///< a blank disk may found a cluster
+    milliseconds grace_{0}; ///< between the signal to stop and the kill
+    double retryRatio_ = 0; ///< repeats for each request, fleet-wide
+    std::uint32_t retrySlack_ = 0; ///< further repeats in a window, fleet-wide
+    seconds retryWindow_{0};
 };
 
+/// @brief Port on which the schedulers of control processes listen for entries.
+std::uint16_t schedulerPort(const Settings &settings);
+
 /// @brief The table of all settings of chervilspringd.
 std::span<const SettingSpec> settingsTable();
 
--- a/packages/core/include/chervilspring/upstream.hpp
+++ b/packages/core/include/chervilspring/upstream.hpp
@@ -6,6 +6,7 @@
 
 #include <boost/describe/enum.hpp>
 
+#include <map>
 #include <memory>
 
 namespace chervilspring {
@@ -27,10 +28,12 @@
     bool drained_ = false; ///< an operator asked it to leave
     Labels labels_; ///< as announced
     Labels operatorLabels_; ///< set by operators; they replace announced ones of the same key
+    bool direct_ = false; ///< has no agent: address and boot are the upstream's own
+    std::uint64_t sequence_ = 0; ///< of the announcement, for direct upstreams
 };
 BOOST_DESCRIBE_STRUCT(Upstream, (),
                       (name_, dataCenter_, agentAddress_, agentPort_, agentBoot_, concurrency_,
-                       phase_, drained_, labels_, operatorLabels_))
+                       phase_, drained_, labels_, operatorLabels_, direct_, sequence_))
 
 /// @brief A request body that crashed upstreams.
 struct Suspect
@@ -60,6 +63,11 @@
 /// @return the merged labels, with "name" and "data_center" added
 Labels effectiveLabels(const Upstream &upstream, const Fleet &fleet);
 
+/// @brief Upstreams of each pool that take new work.
+/// @param view the view; the pointers are valid as long as it is
+/// @return by pool name; a pool without any is present with an empty list
+std::map<std::string, std::vector<const Upstream *>> poolMembers(const View &view);
+
 /// @brief Whether new work may go to an upstream.
 /// @param upstream the upstream
 /// @return true if it serves and nobody asked it to leave
--- a/packages/core/src/settings.cpp
+++ b/packages/core/src/settings.cpp
@@ -29,8 +29,31 @@
      "port for callers, operators or the local upstream; 0 picks a free one"},
     {"node", "secret", SettingKind::Text, "", 16, 256, nullptr, "",
      "secret shared by the processes of the fleet"},
-    {"node", "control", SettingKind::AddressList, "", 1, 7, nullptr, "",
-     "control processes as name@address:port, separated by commas"},
+    {"node", "control", SettingKind::AddressList, "", 1, 7, "", "",
+     "control processes as name@address:port, separated by commas; this or seeds is required"},
+    {"node", "protocol", SettingKind::Choice, "", 0, 0, "pipelines", "pipelines|routes",
+     "pipelines: the interface of docs/api.md; routes: the platform's, without agents"},
+    {"node", "listen", SettingKind::Endpoints, "", 0, 1, "", "",
+     "address for callers or operators as IP:PORT; goes before address and http_port"},
+    {"node", "ready", SettingKind::Endpoints, "", 0, 1, "", "",
+     "address that is asked whether an entry is ready, as IP:PORT"},
+    {"node", "seeds", SettingKind::Endpoints, "", 0, 16, "", "",
+     "some control processes as IP:PORT of their operators' interface, separated by commas; "
+     "processes are then named by their IP numbers"},
+    {"node", "control_port", SettingKind::Number, "", 0, maxPort - 1, "0", "",
+     "port of control processes for others, if seeds are set; their schedulers have the next one"},
+    {"node", "metrics_port", SettingKind::Number, "", 0, maxPort, "0", "",
+     "port on which metrics are served; 0: only on http_port"},
+    {"node", "first_start", SettingKind::Flag, "", 0, 0, "true", "",
+     "whether a blank disk may found a cluster"},
+    {"node", "grace", SettingKind::Number, "ms", 1000, 600000, "8000", "",
+     "time between the signal to stop and the kill"},
+    {"retries", "ratio", SettingKind::Fraction, "", 0, 1, "0.2", "",
+     "repeats allowed for each request, fleet-wide"},
+    {"retries", "slack", SettingKind::Number, "", 0, 1000000, "0", "",
+     "repeats allowed in a window besides, fleet-wide"},
+    {"retries", "window", SettingKind::Number, "s", 1, 600, "10", "",
+     "window in which repeats are counted"},
     {"node", "body_limit", SettingKind::Number, "bytes", 1024, 16777216, "1048576", "",
      "largest request body that is read"},
     {"node", "read_timeout", SettingKind::Number, "ms", 50, 600000, "5000", "",
@@ -70,6 +93,10 @@
         return range + " characters";
     case SettingKind::Number:
         return range + unit;
+    case SettingKind::Fraction:
+        return "a number from " + range;
+    case SettingKind::Endpoints:
+        return range + " entries IP:PORT";
     case SettingKind::Choice:
         return "one of " + std::string(spec.choices_);
     case SettingKind::Flag:
@@ -109,6 +136,42 @@
     return !address.address_.empty();
 }
 
+// Reads IP:PORT; the name is the IP number.
+bool parseEndpoint(const std::string &text, ControlAddress &address)
+{
+    const std::string name = text.substr(0, text.rfind(':'));
+    return parseAddress(name + "@" + text, address);
+}
+
+bool parseFraction(const std::string &text, double &value)
+{
+    const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), value);
+    return error == std::errc() && end == text.data() + text.size();
+}
+
+std::vector<ControlAddress> endpointsOf(const std::string &value)
+{
+    std::vector<ControlAddress> endpoints;
+    if (value.empty())
+        return endpoints;
+    for (const std::string &part : split(value, ',')) {
+        endpoints.emplace_back();
+        parseEndpoint(part, endpoints.back());
+    }
+    return endpoints;
+}
+
+bool areEndpoints(const std::string &value, std::int64_t most)
+{
+    if (value.empty())
+        return true;
+    const auto parts = split(value, ',');
+    ControlAddress ignored;
+    return static_cast<std::int64_t>(parts.size()) <= most
+        && std::all_of(parts.begin(), parts.end(),
+                       [&](const std::string &part) { return parseEndpoint(part, ignored); });
+}
+
 bool inRange(std::int64_t value, const SettingSpec &spec)
 {
     return value >= spec.min_ && value <= spec.max_;
@@ -122,6 +185,13 @@
         return inRange(static_cast<std::int64_t>(value.size()), spec);
     case SettingKind::Number:
         return parseNumber(value, number) && inRange(number, spec);
+    case SettingKind::Fraction: {
+        double fraction = 0;
+        return parseFraction(value, fraction) && fraction >= static_cast<double>(spec.min_)
+            && fraction <= static_cast<double>(spec.max_);
+    }
+    case SettingKind::Endpoints:
+        return areEndpoints(value, spec.max_);
     case SettingKind::Flag:
         return value == "true" || value == "false";
     case SettingKind::Choice: {
@@ -184,8 +254,26 @@
     return milliseconds(numberOf<std::int64_t>(section, key));
 }
 
+// Addresses that a platform fills in: whole endpoints, and seeds in place of a list of processes.
+void applyEndpoints(Settings &settings, const CheckedSection &node)
+{
+    for (const ControlAddress &listen : endpointsOf(node.at("listen"))) {
+        settings.address_ = listen.address_;
+        settings.httpPort_ = listen.port_;
+    }
+    for (const ControlAddress &ready : endpointsOf(node.at("ready")))
+        settings.readyPort_ = ready.port_;
+    settings.controlPort_ = numberOf<std::uint16_t>(node, "control_port");
+    for (const ControlAddress &seed : endpointsOf(node.at("seeds"))) {
+        settings.openMembership_ = true;
+        settings.control_.push_back(
+            ControlAddress{seed.name_, seed.address_, settings.controlPort_});
+    }
+}
+
 Settings buildSettings(const CheckedSection &node, const CheckedSection &log,
-                       const CheckedSection &control, const CheckedSection &agent)
+                       const CheckedSection &control, const CheckedSection &agent,
+                       const CheckedSection &retries)
 {
     Settings settings;
     settings.role_ = parseRole(node.at("role"));
@@ -195,10 +283,20 @@
     settings.port_ = numberOf<std::uint16_t>(node, "port");
     settings.httpPort_ = numberOf<std::uint16_t>(node, "http_port");
     settings.secret_ = node.at("secret");
-    for (const std::string &part : split(node.at("control"), ',')) {
-        settings.control_.emplace_back();
-        parseAddress(part, settings.control_.back());
+    if (!node.at("control").empty()) {
+        for (const std::string &part : split(node.at("control"), ',')) {
+            settings.control_.emplace_back();
+            parseAddress(part, settings.control_.back());
+        }
     }
+    applyEndpoints(settings, node);
+    settings.routes_ = node.at("protocol") == "routes";
+    settings.metricsPort_ = numberOf<std::uint16_t>(node, "metrics_port");
+    settings.firstStart_ = node.at("first_start") == "true";
+    settings.grace_ = durationOf(node, "grace");
+    parseFraction(retries.at("ratio"), settings.retryRatio_);
+    settings.retrySlack_ = numberOf<std::uint32_t>(retries, "slack");
+    settings.retryWindow_ = seconds(numberOf<std::int64_t>(retries, "window"));
     settings.bodyLimit_ = numberOf<std::size_t>(node, "body_limit");
     settings.readTimeout_ = durationOf(node, "read_timeout");
     settings.trafficThreads_ = numberOf<std::uint32_t>(node, "traffic_threads");
@@ -279,7 +377,7 @@
 leaf::result<Settings> parseSettings(const std::string &text, const std::string &file)
 {
     BOOST_LEAF_AUTO(sections, parseIni(text, file));
-    const std::vector<std::string> known = {"node", "log", "control", "agent"};
+    const std::vector<std::string> known = {"node", "log", "control", "agent", "retries"};
     std::map<std::string, IniSection> byName;
     for (const std::string &name : known)
         byName[name].name_ = name;
@@ -287,20 +385,29 @@
         if (std::find(known.begin(), known.end(), section.name_) == known.end())
             return settingError(ErrorId::SettingUnknown, file,
                                 "section [" + section.name_
-                                    + "] is unknown; allowed: node, log, control, agent");
+                                    + "] is unknown; allowed: node, log, control, agent, retries");
         byName[section.name_] = section;
     }
     BOOST_LEAF_AUTO(node, checkSection(byName["node"], table, "node", file));
     BOOST_LEAF_AUTO(log, checkSection(byName["log"], table, "log", file));
     BOOST_LEAF_AUTO(control, checkSection(byName["control"], table, "control", file));
     BOOST_LEAF_AUTO(agent, checkSection(byName["agent"], table, "agent", file));
-    Settings settings = buildSettings(node, log, control, agent);
+    BOOST_LEAF_AUTO(retries, checkSection(byName["retries"], table, "retries", file));
+    Settings settings = buildSettings(node, log, control, agent, retries);
+    if (settings.control_.empty())
+        return settingError(ErrorId::SettingMissing, file,
+                            "section [node], key \"control\" or \"seeds\" is missing");
     if (settings.role_ == Role::Control && settings.dataFolder_.empty())
         return settingError(ErrorId::SettingMissing, file,
                             "section [control], key \"data_folder\" is missing; allowed: a folder");
     return settings;
 }
 
+std::uint16_t schedulerPort(const Settings &settings)
+{
+    return static_cast<std::uint16_t>(settings.controlPort_ + 1);
+}
+
 leaf::result<std::string> readFile(const std::string &path)
 {
     std::ifstream stream(path, std::ios::binary);
--- a/packages/core/src/upstream.cpp
+++ b/packages/core/src/upstream.cpp
@@ -41,6 +41,31 @@
     return labels;
 }
 
+std::map<std::string, std::vector<const Upstream *>> poolMembers(const View &view)
+{
+    std::map<std::string, std::vector<const Upstream *>> pools;
+    const Fleet noPools;
+    std::vector<std::pair<const Upstream *, Labels>> candidates;
+    for (const Upstream &upstream : view.upstreams_) {
+        if (takesNewWork(upstream))
+            candidates.emplace_back(&upstream, effectiveLabels(upstream, noPools));
+    }
+    for (const Pool &pool : view.fleet_.pools_) {
+        auto &list = pools[pool.name_];
+        leaf::try_handle_all(
+            [&]() -> leaf::result<void> {
+                BOOST_LEAF_AUTO(selector, parseSelector(pool.selector_));
+                for (const auto &[upstream, labels] : candidates) {
+                    if (matches(selector, labels))
+                        list.push_back(upstream);
+                }
+                return {};
+            },
+            [] {}); // selectors are checked when a configuration is applied
+    }
+    return pools;
+}
+
 bool takesNewWork(const Upstream &upstream)
 {
     return upstream.phase_ == UpstreamPhase::Serving && !upstream.drained_;
--- a/packages/decision/include/chervilspring/detail/control/consensus.hpp
+++ b/packages/decision/include/chervilspring/detail/control/consensus.hpp
@@ -22,6 +22,8 @@
 {
     Member self_;
     std::vector<std::string> controlNames_; ///< all control processes, from the settings
+    bool openMembership_ = false; ///< controlNames_ only says where to begin; others may join
+    bool mayFound_ = true; ///< false: a blank disk only joins
     milliseconds electionTimeout_{600};
     milliseconds replaceAfter_{30000};
     std::uint32_t snapshotEntries_ = 4096;
@@ -94,6 +96,7 @@
     std::vector<PendingRead> reads_;
     std::map<std::string, Join> joins_; ///< newest identity heard from each control process
     std::map<std::string, Instant> joinHeard_;
+    std::string leaderHint_; ///< leader that another process named, empty if none
     bool transferring_ = false;
     std::mt19937_64 random_;
 };
--- a/packages/decision/include/chervilspring/detail/control/control.hpp
+++ b/packages/decision/include/chervilspring/detail/control/control.hpp
@@ -30,8 +30,23 @@
 };
 BOOST_DESCRIBE_STRUCT(LocalRead, (), (token_))
 
-using ControlEvent =
-    std::variant<PeerMessage, PeerLost, BatchSynced, LocalProposal, LocalRead, Wake, StopRequested>;
+/// @brief A direct upstream announced itself at the local HTTP port.
+struct LocalAnnouncement
+{
+    std::uint64_t token_ = 0;
+    Upstream upstream_;
+};
+BOOST_DESCRIBE_STRUCT(LocalAnnouncement, (), (token_, upstream_))
+
+/// @brief Other control processes to begin with, from newer settings.
+struct SeedsChanged
+{
+    std::vector<std::string> names_;
+};
+BOOST_DESCRIBE_STRUCT(SeedsChanged, (), (names_))
+
+using ControlEvent = std::variant<PeerMessage, PeerLost, BatchSynced, LocalProposal, LocalRead,
+                                  Wake, StopRequested, LocalAnnouncement, SeedsChanged>;
 
 /// @brief Answer a local proposal.
 struct AnswerProposal
@@ -76,6 +91,8 @@
     Instant shareExpires_{};
     std::optional<Upstream> proposed_; ///< newest announcement handed to the log
     Instant proposedAt_{};
+    std::uint64_t sequence_ = 0; ///< of the newest announcement of a direct upstream
+    std::uint64_t sequenceBoot_ = 0; ///< boot that sequence_ belongs to
 };
 
 /// @brief What stays the same for the life of a control process.
--- a/packages/decision/include/chervilspring/detail/control/fleet_state.hpp
+++ b/packages/decision/include/chervilspring/detail/control/fleet_state.hpp
@@ -27,9 +27,29 @@
     std::map<std::string, Outcome> operations_; ///< first answer to each operation id
     std::deque<std::string> operationOrder_;
     std::deque<ViewChange> changes_; ///< oldest first, bounded
+    std::uint64_t documentVersion_ = 0; ///< as the operator numbered it
+    std::string document_; ///< newest accepted document, as it was sent
+    std::deque<Departure> departures_; ///< oldest first, bounded
     WallTime time_{}; ///< newest leader time applied
 };
 
+/// @brief What the state says to a document before it is proposed.
+/// @param state the state
+/// @param version the document's version
+/// @param document the document
+/// @return nothing if it would replace the one held, else the answer
+std::optional<Outcome> answerDocument(const FleetState &state, std::uint64_t version,
+                                      const std::string &document);
+
+/// @brief Whether an announcement changes nothing but its sequence.
+bool sameAnnouncement(const Upstream &left, const Upstream &right);
+
+/// @brief Whether an announcement of a direct upstream came too late to count.
+///
+/// It is older than what is known of the same name, or of another upstream at the same address, or
+/// its upstream has said that it left.
+bool isOutdated(const FleetState &state, const Upstream &announced);
+
 /// @brief Applies one committed entry.
 /// @param state the state
 /// @param entry the entry; entries have to come in order
--- a/packages/decision/include/chervilspring/detail/entry/entry.hpp
+++ b/packages/decision/include/chervilspring/detail/entry/entry.hpp
@@ -56,13 +56,6 @@
 BOOST_DESCRIBE_STRUCT(CallerRequest, (),
                       (token_, pipeline_, credential_, key_, deadline_, stream_, body_))
 
-/// @brief The caller closed its connection.
-struct CallerGone
-{
-    std::uint64_t token_ = 0;
-};
-BOOST_DESCRIBE_STRUCT(CallerGone, (), (token_))
-
 /// @brief Somebody asks what became of a request.
 struct TraceQuery
 {
--- a/packages/decision/include/chervilspring/detail/node/node.hpp
+++ b/packages/decision/include/chervilspring/detail/node/node.hpp
@@ -18,6 +18,7 @@
     std::string name_;
     bool isEntry_ = false;
     std::vector<std::string> controlNames_;
+    bool openMembership_ = false; ///< controlNames_ grows by the members that replies name
     std::uint64_t seed_ = 1;
 };
 
@@ -43,8 +44,15 @@
 };
 BOOST_DESCRIBE_STRUCT(NewerVersionSeen, (), (peer_, version_))
 
+/// @brief Control processes to begin with, from newer settings.
+struct ControlNamesChanged
+{
+    std::vector<std::string> names_;
+};
+BOOST_DESCRIBE_STRUCT(ControlNamesChanged, (), (names_))
+
 using NodeEvent = std::variant<PeerMessage, PeerLost, SubmitProposal, AnnouncementChanged,
-                               LoadChanged, NewerVersionSeen, Wake>;
+                               LoadChanged, NewerVersionSeen, Wake, ControlNamesChanged>;
 using NodeEffect = std::variant<SendToPeer, ViewChanged, ProposalAnswered, DecisionLine>;
 using NodeEffects = std::vector<NodeEffect>;
 
--- /dev/null
+++ b/packages/decision/include/chervilspring/detail/scheduler/piece_plan.hpp
@@ -0,0 +1,168 @@
+/// @file
+/// @brief Which pieces go into the next call to a stage upstream, and what can't be done in time.
+///
+/// Answers the load in which stage upstreams are the scarce thing: a call costs the same for one
+/// piece as for a full batch, requests come in bursts, and pieces of one request are worth nothing
+/// unless all of them are made.
+#pragma once
+
+#include "chervilspring/messages.hpp"
+
+#include <map>
+
+namespace chervilspring {
+
+/// @brief Names a request at a scheduler.
+struct JobId
+{
+    std::string entry_;
+    std::string request_;
+    auto operator<=>(const JobId &) const = default;
+};
+
+/// @brief Names a piece.
+struct PieceId
+{
+    JobId job_;
+    std::uint32_t stage_ = 0;
+    std::uint32_t piece_ = 0;
+};
+
+/// @brief Where a piece stands.
+enum class PieceState { Waiting, Running, Done };
+
+/// @brief One piece of a stage.
+struct Piece
+{
+    PieceState state_ = PieceState::Waiting;
+    std::string handle_; ///< of its result
+    std::string upstream_; ///< that made it
+    std::uint32_t failures_ = 0;
+};
+
+/// @brief A stage of one request.
+struct StageWork
+{
+    std::string pool_;
+    std::vector<std::uint32_t> after_;
+    std::uint64_t resultBytes_ = 0;
+    std::vector<Piece> pieces_;
+    bool freed_ = false; ///< its results were given back
+};
+
+/// @brief A request whose stages are being done, or that runs at a model engine.
+struct Job
+{
+    PlanRequest request_;
+    std::vector<StageWork> stages_;
+    Instant arrivedAt_{};
+    Instant objectiveAt_{};
+    Instant deadlineAt_{};
+    std::string engine_; ///< where it runs, empty before the grant
+    bool granted_ = false;
+};
+
+/// @brief Room that results hold at their maker.
+struct HeldResult
+{
+    std::uint64_t bytes_ = 0;
+    Instant expiresAt_{};
+};
+
+/// @brief What a scheduler knows of a stage upstream.
+struct StageUpstream
+{
+    std::uint64_t call_ = 0; ///< call under way, 0: none
+    Instant avoidUntil_{}; ///< after a failure
+    std::uint32_t failures_ = 0; ///< in a row
+    double slowness_ = 1.0; ///< moving mean of measured over expected call time
+    std::uint64_t reservedBytes_ = 0; ///< for the call under way
+    std::map<std::string, HeldResult> held_; ///< by handle
+};
+
+/// @brief One item of a call to a stage upstream.
+struct StageItem
+{
+    std::string request_;
+    std::uint32_t stage_ = 0;
+    std::uint32_t piece_ = 0;
+    nanoseconds remaining_{0}; ///< until nobody needs the result
+    std::string key_; ///< for stages without predecessors
+    std::vector<std::string> inputs_; ///< handles of all pieces of the stages before
+    bool hasInputs_ = false;
+};
+
+/// @brief Why an item has no result.
+enum class ItemFailure { None, Late, InputGone, NoRoom, Error };
+
+/// @brief What became of an item.
+struct StageItemResult
+{
+    std::string handle_;
+    ItemFailure failure_ = ItemFailure::None;
+};
+
+/// @brief How a call to a stage upstream ended.
+enum class StageCallEnd {
+    Done, ///< answered item by item
+    Refused, ///< the upstream says that nothing of it ran
+    Unreachable, ///< nothing was sent
+    Failed, ///< broken, timed out or not understood
+};
+
+/// @brief Expected time of a call.
+/// @param capacity of the pool
+/// @param pieces in the call
+nanoseconds callTime(const PieceCapacity &capacity, std::size_t pieces);
+
+/// @brief Whether all stages that a stage comes after are done.
+bool inputsReady(const Job &job, std::size_t stage);
+
+/// @brief Whether every piece of a stage is done.
+bool stageDone(const StageWork &stage);
+
+/// @brief Whether every stage of a request is done.
+bool allDone(const Job &job);
+
+/// @brief Handles of all pieces of the stages that a stage comes after, in order.
+std::vector<std::string> inputsOf(const Job &job, std::size_t stage);
+
+/// @brief Handles of the stages that no other stage follows, in order.
+std::vector<std::string> finalHandles(const Job &job);
+
+/// @brief Whether no other stage follows.
+bool isFinal(const Job &job, std::size_t stage);
+
+/// @brief Shortest time from the start of a stage until all stages are done.
+/// @param fleet has the pools' capacities
+nanoseconds remainingTime(const Job &job, std::size_t stage, const Fleet &fleet);
+
+/// @brief Shortest time until all stages that are not done yet are done.
+nanoseconds remainingTime(const Job &job, const Fleet &fleet);
+
+/// @brief A piece that could go into a call now.
+struct ReadyPiece
+{
+    PieceId id_;
+    bool late_ = false; ///< can't meet its objective any more
+    std::uint32_t priority_ = 0;
+    Instant startBy_{}; ///< latest start that meets the objective, or the deadline if late
+    std::uint64_t resultBytes_ = 0;
+};
+
+/// @brief Order in which ready pieces are taken.
+bool goesBefore(const ReadyPiece &left, const ReadyPiece &right);
+
+/// @brief Ready pieces of a pool in the order in which they are taken.
+std::vector<ReadyPiece> readyPieces(const std::map<JobId, Job> &jobs, const std::string &pool,
+                                    const Fleet &fleet, Instant now);
+
+/// @brief Bytes that a stage upstream has free for further results.
+std::uint64_t freeRoom(const StageUpstream &upstream, const PieceCapacity &capacity, Instant now);
+
+/// @brief Pieces that wait or run at a pool.
+/// @param priority only those that go before or with this one count
+std::size_t backlog(const std::map<JobId, Job> &jobs, const std::string &pool,
+                    std::uint32_t priority);
+
+} // namespace chervilspring
--- /dev/null
+++ b/packages/decision/include/chervilspring/detail/scheduler/scheduler.hpp
@@ -0,0 +1,86 @@
+/// @file
+/// @brief Reducer of a scheduler: has the stages of requests done and chooses their model engines.
+///
+/// A scheduler sees the requests of all entries, so that it can fill calls to stage upstreams with
+/// pieces of many requests. It keeps nothing on disk: an entry that loses its scheduler asks another
+/// one, and pieces are made again.
+#pragma once
+
+#include "chervilspring/detail/scheduler/engine_plan.hpp"
+#include "chervilspring/detail/scheduler/piece_plan.hpp"
+#include "chervilspring/events.hpp"
+
+#include <deque>
+#include <map>
+
+namespace chervilspring {
+
+/// @brief A call to a stage upstream ended.
+struct StageCallEnded
+{
+    std::uint64_t call_ = 0;
+    StageCallEnd end_ = StageCallEnd::Failed;
+    std::vector<StageItemResult> items_; ///< as many as were sent, if end_ is Done
+    std::string detail_;
+};
+
+/// @brief A newer view of the fleet.
+struct SchedulerView
+{
+    ViewPointer view_;
+};
+
+using SchedulerEvent = std::variant<PeerMessage, PeerLost, StageCallEnded, SchedulerView, Wake>;
+
+/// @brief Make a call to a stage upstream.
+struct StartStageCall
+{
+    std::uint64_t call_ = 0;
+    Upstream upstream_;
+    std::vector<StageItem> items_;
+    nanoseconds limit_{0};
+};
+
+/// @brief Tell a stage upstream that results aren't needed any more.
+struct FreeResults
+{
+    Upstream upstream_;
+    std::vector<std::string> handles_;
+};
+
+using SchedulerEffect = std::variant<SendToPeer, StartStageCall, FreeResults, DecisionLine>;
+using SchedulerEffects = std::vector<SchedulerEffect>;
+
+/// @brief A call under way.
+struct StageCall
+{
+    std::string pool_;
+    std::string upstream_;
+    std::vector<PieceId> pieces_;
+    std::vector<std::uint64_t> resultBytes_; ///< by piece
+    Instant startedAt_{};
+    nanoseconds expected_{0};
+};
+
+/// @brief Whole state of a scheduler.
+struct SchedulerState
+{
+    ViewPointer view_ = std::make_shared<const View>();
+    std::map<std::string, std::vector<std::string>> upstreamsByPool_; ///< that take new work
+    std::map<JobId, Job> jobs_;
+    std::map<std::string, StageUpstream> stageUpstreams_; ///< by name
+    EngineTable engines_;
+    std::map<std::uint64_t, StageCall> calls_;
+    std::uint64_t nextCall_ = 1;
+    Instant sweepAt_{};
+};
+
+/// @brief Handles one event.
+/// @since 0.2.0
+void reduce(SchedulerState &state, Instant now, const SchedulerEvent &event,
+            SchedulerEffects &effects);
+
+/// @brief When a Wake event is due.
+Instant nextWake(const SchedulerState &state);
+
+} // namespace chervilspring
--- a/packages/decision/include/chervilspring/events.hpp
+++ b/packages/decision/include/chervilspring/events.hpp
@@ -31,6 +31,13 @@
 { };
 BOOST_DESCRIBE_STRUCT(StopRequested, (), ())
 
+/// @brief The caller closed its connection.
+struct CallerGone
+{
+    std::uint64_t token_ = 0;
+};
+BOOST_DESCRIBE_STRUCT(CallerGone, (), (token_))
+
 /// @brief Send a message to a process, if there is a connection.
 struct SendToPeer
 {
@@ -58,6 +65,8 @@
     Instant asOf_{}; ///< the view was current at this time
     std::uint32_t share_ = 0; ///< share of fleet-wide limits, in millionths
     Instant shareExpires_{};
+    std::string leader_; ///< leader of the control processes, empty if unknown
+    std::vector<std::string> controlNames_;
 };
 
 /// @brief Have a command committed by the control processes.
--- a/packages/decision/src/control/consensus.cpp
+++ b/packages/decision/src/control/consensus.cpp
@@ -11,24 +11,63 @@
 constexpr auto joinInterval = milliseconds(300);
 constexpr auto planInterval = milliseconds(100);
 
-void onJoin(ConsensusState &state, Instant now, const std::string &from, const Join &join)
+void noteJoin(ConsensusState &state, Instant now, const std::string &from, const Join &join)
 {
     state.joins_[from] = join;
     state.joinHeard_[from] = now;
 }
 
+std::string leaderName(const ConsensusState &state)
+{
+    const Member *leader = findMember(state, state.leader_);
+    return leader ? leader->name_ : std::string();
+}
+
 Join ownJoin(const ConsensusState &state)
 {
-    return Join{state.hard_.cluster_, state.settings_.self_};
+    return Join{state.hard_.cluster_, state.settings_.self_, leaderName(state)};
 }
 
-void announceSelf(ConsensusState &state, Instant now, ConsensusOutput &output)
+bool isMemberName(const ConsensusState &state, const std::string &name)
 {
-    onJoin(state, now, state.settings_.self_.name_, ownJoin(state));
-    for (const std::string &name : state.settings_.controlNames_) {
-        if (name != state.settings_.self_.name_)
-            output.messages_.emplace_back(name, ownJoin(state));
+    const auto &list = members(state);
+    return std::any_of(list.begin(), list.end(),
+                       [&](const Member &member) { return member.name_ == name; });
+}
+
+void onJoin(ConsensusState &state, Instant now, const std::string &from, const Join &join,
+            ConsensusOutput &output)
+{
+    noteJoin(state, now, from, join);
+    if (!state.settings_.openMembership_)
+        return;
+    if (!join.leader_.empty())
+        state.leaderHint_ = join.leader_;
+    // A process that is told of few others has to learn from one of them who leads.
+    const bool stranger = !isMemberName(state, from);
+    if (stranger && state.role_ != MemberRole::Leader && !leaderName(state).empty())
+        output.messages_.emplace_back(from, ownJoin(state));
+}
+
+std::set<std::string> announceTargets(const ConsensusState &state)
+{
+    const auto &names = state.settings_.controlNames_;
+    std::set<std::string> targets(names.begin(), names.end());
+    if (state.settings_.openMembership_) {
+        for (const Member &member : members(state))
+            targets.insert(member.name_);
+        if (!state.leaderHint_.empty())
+            targets.insert(state.leaderHint_);
     }
+    targets.erase(state.settings_.self_.name_);
+    return targets;
+}
+
+void announceSelf(ConsensusState &state, Instant now, ConsensusOutput &output)
+{
+    noteJoin(state, now, state.settings_.self_.name_, ownJoin(state));
+    for (const std::string &name : announceTargets(state))
+        output.messages_.emplace_back(name, ownJoin(state));
 }
 
 void bootstrap(ConsensusState &state, Instant now, ConsensusOutput &output)
@@ -185,7 +224,7 @@
             [&](const AppendReply &m) { onAppendReply(state, now, m, output); },
             [&](const InstallSnapshot &m) { onInstallSnapshot(state, now, from, m, output); },
             [&](const TimeoutNow &m) { onTimeoutNow(state, now, m, output); },
-            [&](const Join &m) { onJoin(state, now, from, m); },
+            [&](const Join &m) { onJoin(state, now, from, m, output); },
             [](const auto &) {},
         },
         message);
--- a/packages/decision/src/control/control.cpp
+++ b/packages/decision/src/control/control.cpp
@@ -33,6 +33,14 @@
     state.waiters_.clear();
 }
 
+std::vector<std::string> memberNames(const ControlState &state)
+{
+    std::vector<std::string> names;
+    for (const Member &member : members(state.consensus_))
+        names.push_back(member.name_);
+    return names;
+}
+
 void pushView(ControlState &state, ControlEffects &effects)
 {
     if (!leads(state.consensus_))
@@ -42,6 +50,7 @@
             continue;
         HeartbeatReply reply;
         reply.leader_ = leaderName(state);
+        reply.members_ = memberNames(state);
         reply.update_ = makeUpdate(state.fleet_, node.viewVersion_);
         effects.push_back(SendToPeer{name, reply});
     }
@@ -151,13 +160,6 @@
     carryOut(state, now, wall, std::move(output), effects);
 }
 
-bool sameAnnouncement(const Upstream &left, const Upstream &right)
-{
-    return left.agentBoot_ == right.agentBoot_ && left.phase_ == right.phase_
-        && left.labels_ == right.labels_ && left.concurrency_ == right.concurrency_
-        && left.agentPort_ == right.agentPort_;
-}
-
 bool announcementChanged(const ControlState &state, const Upstream &announced)
 {
     const Upstream *known = findByName(state.fleet_.view_.upstreams_, announced.name_);
@@ -187,6 +189,41 @@
         proposeInternal(state, now, wall, AnnounceUpstream{upstream}, effects);
 }
 
+// Renews the lease of a direct upstream. What it says is logged only if it changes something; who
+// asked gets the answer once the log holds it.
+void onLocalAnnouncement(ControlState &state, Instant now, WallTime wall,
+                         const LocalAnnouncement &event, ControlEffects &effects)
+{
+    const Upstream &upstream = event.upstream_;
+    const Waiter waiter{0, "", event.token_};
+    if (!leads(state.consensus_)) {
+        answer(state, waiter, Outcome{OutcomeKind::NotLeader, 0, {}, std::nullopt}, effects);
+        return;
+    }
+    NodeStatus &node = state.nodes_[upstream.name_];
+    const bool older = node.sequenceBoot_ > upstream.agentBoot_
+        || (node.sequenceBoot_ == upstream.agentBoot_ && node.sequence_ > upstream.sequence_);
+    if (older || isOutdated(state.fleet_, upstream)) {
+        answer(state, waiter, Outcome{OutcomeKind::Accepted, 0, "outdated", std::nullopt}, effects);
+        return;
+    }
+    node.lastHeard_ = now;
+    node.isAgent_ = true;
+    node.agentBoot_ = upstream.agentBoot_;
+    node.sequence_ = upstream.sequence_;
+    node.sequenceBoot_ = upstream.agentBoot_;
+    if (!announcementChanged(state, upstream)) {
+        answer(state, waiter, Outcome{OutcomeKind::Accepted, 0, {}, std::nullopt}, effects);
+        return;
+    }
+    effects.push_back(DecisionLine{"decision=membership upstream=" + upstream.name_
+                                   + " boot=" + std::to_string(upstream.agentBoot_)
+                                   + " sequence=" + std::to_string(upstream.sequence_) + " phase="
+                                   + boost::describe::enum_to_string(upstream.phase_, "?")
+                                   + " reason=announced"});
+    propose(state, now, wall, AnnounceUpstream{upstream}, waiter, effects);
+}
+
 std::uint32_t sharesOfOthers(const ControlState &state, Instant now, const std::string &self)
 {
     std::uint32_t sum = 0;
@@ -240,6 +277,7 @@
     node.agentBoot_ = heartbeat.upstream_ ? heartbeat.upstream_->agentBoot_ : 0;
     HeartbeatReply reply;
     reply.leader_ = leaderName(state);
+    reply.members_ = memberNames(state);
     if (const auto age = lag(state.consensus_, now)) {
         reply.fresh_ = true;
         reply.age_ = *age;
@@ -368,6 +406,12 @@
                    },
                    [](const Wake &) {},
                    [&](const StopRequested &) { onStop(state, now, wall, effects); },
+                   [&](const LocalAnnouncement &e) {
+                       onLocalAnnouncement(state, now, wall, e, effects);
+                   },
+                   [&](const SeedsChanged &e) {
+                       state.consensus_.settings_.controlNames_ = e.names_;
+                   },
                },
                event);
     checkStop(state, now, effects);
--- a/packages/decision/src/control/fleet_state.cpp
+++ b/packages/decision/src/control/fleet_state.cpp
@@ -12,6 +12,7 @@
 constexpr std::size_t maxSuspects = 256;
 constexpr std::uint32_t crashesToRefuse = 2;
 constexpr auto expiryMargin = seconds(1);
+constexpr std::size_t maxDepartures = 1024;
 
 Outcome outcome(OutcomeKind kind, std::uint64_t version, std::string detail = {})
 {
@@ -198,16 +199,46 @@
     return outcome(OutcomeKind::Accepted, entry.index_);
 }
 
-bool sameAnnouncement(const Upstream &left, const Upstream &right)
+bool sameAddress(const Upstream &left, const Upstream &right)
 {
-    return left.agentBoot_ == right.agentBoot_ && left.phase_ == right.phase_
-        && left.labels_ == right.labels_ && left.concurrency_ == right.concurrency_
-        && left.agentPort_ == right.agentPort_ && left.agentAddress_ == right.agentAddress_
-        && left.dataCenter_ == right.dataCenter_;
+    return left.agentAddress_ == right.agentAddress_ && left.agentPort_ == right.agentPort_;
+}
+
+// An address belongs to the direct upstream that started there last.
+void dropPredecessors(FleetState &state, std::uint64_t version, const Upstream &upstream)
+{
+    std::vector<std::string> names;
+    for (const Upstream &other : state.view_.upstreams_) {
+        if (other.direct_ && other.name_ != upstream.name_ && sameAddress(other, upstream))
+            names.push_back(other.name_);
+    }
+    for (const std::string &name : names) {
+        std::erase_if(state.view_.upstreams_,
+                      [&](const Upstream &item) { return item.name_ == name; });
+        noteChange(state, version, name, false);
+    }
+}
+
+Outcome applyCommand(FleetState &state, const LogEntry &entry, const ApplyDocument &command)
+{
+    if (const auto answer =
+            answerDocument(state, command.documentVersion_, command.document_))
+        return *answer;
+    state.documentVersion_ = command.documentVersion_;
+    state.document_ = command.document_;
+    state.view_.fleet_ = command.fleet_;
+    state.view_.fleetVersion_ = entry.index_;
+    noteChange(state, entry.index_, {}, true);
+    return outcome(OutcomeKind::Accepted, entry.index_);
 }
 
 Outcome applyCommand(FleetState &state, const LogEntry &entry, const AnnounceUpstream &command)
 {
+    if (command.upstream_.direct_) {
+        if (isOutdated(state, command.upstream_))
+            return outcome(OutcomeKind::Conflict, entry.index_, "a newer announcement is known");
+        dropPredecessors(state, entry.index_, command.upstream_);
+    }
     Upstream *old = findUpstream(state, command.upstream_.name_);
     if (old && sameAnnouncement(*old, command.upstream_))
         return outcome(OutcomeKind::Accepted, entry.index_);
@@ -229,6 +260,11 @@
 
 Outcome applyCommand(FleetState &state, const LogEntry &entry, const RemoveUpstream &command)
 {
+    if (command.departed_) {
+        state.departures_.push_back(Departure{command.name_, command.agentBoot_});
+        if (state.departures_.size() > maxDepartures)
+            state.departures_.pop_front();
+    }
     Upstream *upstream = findUpstream(state, command.name_);
     const bool present = upstream && upstream->phase_ != UpstreamPhase::Gone;
     if (!present || upstream->agentBoot_ != command.agentBoot_)
@@ -295,6 +331,49 @@
 
 } // namespace
 
+std::optional<Outcome> answerDocument(const FleetState &state, std::uint64_t version,
+                                      const std::string &document)
+{
+    if (version > state.documentVersion_)
+        return std::nullopt;
+    if (version < state.documentVersion_)
+        return outcome(OutcomeKind::Accepted, state.view_.version_,
+                       "replaced by version " + std::to_string(state.documentVersion_));
+    if (document == state.document_)
+        return outcome(OutcomeKind::Accepted, state.view_.version_);
+    return outcome(OutcomeKind::Conflict, state.view_.version_,
+                   "another document has version " + std::to_string(version));
+}
+
+bool sameAnnouncement(const Upstream &left, const Upstream &right)
+{
+    return left.agentBoot_ == right.agentBoot_ && left.phase_ == right.phase_
+        && left.labels_ == right.labels_ && left.concurrency_ == right.concurrency_
+        && left.agentPort_ == right.agentPort_ && left.agentAddress_ == right.agentAddress_
+        && left.dataCenter_ == right.dataCenter_ && left.direct_ == right.direct_;
+}
+
+bool isOutdated(const FleetState &state, const Upstream &announced)
+{
+    for (const Departure &departure : state.departures_) {
+        if (departure.name_ == announced.name_ && departure.agentBoot_ >= announced.agentBoot_)
+            return true;
+    }
+    for (const Upstream &other : state.view_.upstreams_) {
+        if (other.name_ == announced.name_) {
+            if (other.agentBoot_ > announced.agentBoot_)
+                return true;
+            if (other.agentBoot_ == announced.agentBoot_ && other.sequence_ > announced.sequence_)
+                return true;
+            continue;
+        }
+        if (other.direct_ && sameAddress(other, announced)
+            && other.agentBoot_ > announced.agentBoot_)
+            return true;
+    }
+    return false;
+}
+
 Outcome apply(FleetState &state, const LogEntry &entry)
 {
     state.time_ = std::max(state.time_, entry.time_);
@@ -317,6 +396,9 @@
     snapshot.view_ = state.view_;
     for (const auto &[key, record] : state.records_)
         snapshot.records_.push_back(record);
+    snapshot.documentVersion_ = state.documentVersion_;
+    snapshot.document_ = state.document_;
+    snapshot.departures_.assign(state.departures_.begin(), state.departures_.end());
     for (const std::string &id : state.operationOrder_) {
         snapshot.operationIds_.push_back(id);
         snapshot.operationOutcomes_.push_back(state.operations_.at(id));
@@ -329,6 +411,9 @@
     FleetState state;
     state.time_ = snapshot.time_;
     state.view_ = snapshot.view_;
+    state.documentVersion_ = snapshot.documentVersion_;
+    state.document_ = snapshot.document_;
+    state.departures_.assign(snapshot.departures_.begin(), snapshot.departures_.end());
     for (const Record &record : snapshot.records_) {
         state.records_[record.key_] = record;
         if (record.phase_ == RecordPhase::Completed)
--- a/packages/decision/src/control/membership.cpp
+++ b/packages/decision/src/control/membership.cpp
@@ -1,5 +1,7 @@
 #include "chervilspring/detail/control/membership.hpp"
 
+#include "chervilspring/detail/control/consensus_steps.hpp"
+
 #include <algorithm>
 
 namespace chervilspring {
@@ -7,6 +9,7 @@
 namespace {
 
 constexpr std::size_t maxVoters = 5;
+constexpr std::size_t maxOpenVoters = 7; // the most VMs that may be set aside for control
 constexpr std::uint64_t caughtUpWithin = 64; // entries
 constexpr auto recentJoin = seconds(2);
 
@@ -62,15 +65,33 @@
     return std::nullopt;
 }
 
-std::optional<MembershipPlan> promoteLearner(const ConsensusState &state, Instant now)
+// Whether one more voter is wanted.
+bool wantsVoter(const ConsensusState &state, Instant now)
 {
     const auto &list = members(state);
-    const auto voters = static_cast<std::size_t>(
-        std::count_if(list.begin(), list.end(), [](const Member &m) { return m.voter_; }));
+    const std::size_t voters = voterCount(state);
     const bool anyLost = std::any_of(
         list.begin(), list.end(), [&](const Member &m) { return m.voter_ && lost(state, m, now); });
+    if (state.settings_.openMembership_)
+        return voters < maxOpenVoters || (voters == maxOpenVoters && anyLost);
     const std::size_t target = std::min(state.settings_.controlNames_.size(), maxVoters);
-    if (voters > target || (voters == target && !anyLost))
+    return voters < target || (voters == target && anyLost);
+}
+
+// Whether a voter that is lost may go. Where nobody says how many there should be, an even number
+// of voters bears no more losses than one voter less: its lost one goes.
+bool hasVoterToSpare(const ConsensusState &state)
+{
+    const std::size_t voters = voterCount(state);
+    if (state.settings_.openMembership_)
+        return voters > 2 && (voters % 2 == 0 || voters > maxOpenVoters);
+    return voters > std::min(state.settings_.controlNames_.size(), maxVoters);
+}
+
+std::optional<MembershipPlan> promoteLearner(const ConsensusState &state, Instant now)
+{
+    const auto &list = members(state);
+    if (!wantsVoter(state, now))
         return std::nullopt;
     for (const Member &member : list) {
         if (member.voter_ || replaced(state, member) || !caughtUp(state, member, now))
@@ -85,10 +106,7 @@
 std::optional<MembershipPlan> removeVoter(const ConsensusState &state, Instant now)
 {
     const auto &list = members(state);
-    const auto voters = static_cast<std::size_t>(
-        std::count_if(list.begin(), list.end(), [](const Member &m) { return m.voter_; }));
-    const std::size_t target = std::min(state.settings_.controlNames_.size(), maxVoters);
-    if (voters <= target)
+    if (!hasVoterToSpare(state))
         return std::nullopt;
     for (const Member &member : list) {
         if (!member.voter_ || !lost(state, member, now))
@@ -119,7 +137,7 @@
     const bool first = !names.empty() && names.front() == state.settings_.self_.name_;
     const bool blank = state.hard_.cluster_ == 0 && state.memberLists_.empty()
         && lastIndex(state) == 0 && state.hard_.term_ == 0;
-    if (!first || !blank)
+    if (!first || !blank || !state.settings_.mayFound_)
         return std::nullopt;
     Snapshot snapshot;
     snapshot.cluster_ = state.settings_.newCluster_;
--- a/packages/decision/src/node/node.cpp
+++ b/packages/decision/src/node/node.cpp
@@ -13,6 +13,7 @@
 constexpr nanoseconds searchInterval = milliseconds(300); // while no control process answers
 constexpr nanoseconds heartbeatPatience = milliseconds(1500);
 constexpr nanoseconds proposalResend = milliseconds(250);
+constexpr std::size_t maxControlNames = 16; // former members are kept as places to ask
 
 bool isControl(const NodeState &state, const std::string &peer)
 {
@@ -55,12 +56,30 @@
 
 void publish(const NodeState &state, NodeEffects &effects)
 {
-    effects.push_back(ViewChanged{state.view_, state.asOf_, state.share_, state.shareExpires_});
+    effects.push_back(ViewChanged{state.view_, state.asOf_, state.share_,
+                                  state.shareExpires_, state.leader_,
+                                  state.settings_.controlNames_});
+}
+
+void addControlNames(NodeState &state, const std::vector<std::string> &names)
+{
+    for (const std::string &name : names) {
+        if (!isControl(state, name))
+            state.settings_.controlNames_.push_back(name);
+    }
 }
 
 void onReply(NodeState &state, const std::string &peer, const HeartbeatReply &reply,
              NodeEffects &effects)
 {
+    if (state.settings_.openMembership_ && !reply.members_.empty()) {
+        // The settings may name processes that are gone; the members in force go first.
+        std::vector<std::string> seeds =
+            std::exchange(state.settings_.controlNames_, reply.members_);
+        if (seeds.size() > maxControlNames)
+            seeds.resize(maxControlNames);
+        addControlNames(state, seeds);
+    }
     setLeader(state, reply.leader_);
     if (reply.update_) {
         if (const ViewPointer newer = updateView(*state.view_, *reply.update_)) {
@@ -254,6 +273,7 @@
                            sendHeartbeat(state, now, e.peer_, effects);
                    },
                    [&](const Wake &) { onWake(state, now, effects); },
+                   [&](const ControlNamesChanged &e) { addControlNames(state, e.names_); },
                },
                event);
 }
--- /dev/null
+++ b/packages/decision/src/scheduler/engine_plan.cpp
@@ -0,0 +1,100 @@
+#include "chervilspring/detail/scheduler/engine_plan.hpp"
+
+#include <algorithm>
+
+namespace chervilspring {
+
+namespace {
+
+constexpr double readTokensPerMs = 40.0; // of an engine; the deployments' sheets state 42.6
+constexpr nanoseconds partLifetime = seconds(20); // unused parts are taken as evicted
+constexpr nanoseconds costOfRun = milliseconds(2); // a run slows the others' tokens by about this
+constexpr nanoseconds costOfCrossing = milliseconds(100); // per MB: links are shared and priced
+constexpr double bytesPerMb = 1e6;
+constexpr nanoseconds firstAvoidance = milliseconds(400);
+constexpr std::uint32_t longestAvoidance = 4; // doublings
+constexpr std::size_t maxParts = 4096;
+
+nanoseconds readTime(std::uint64_t tokens)
+{
+    return nanoseconds(
+        static_cast<std::int64_t>(static_cast<double>(tokens) / readTokensPerMs * 1e6));
+}
+
+std::uint32_t unreadTokens(const Engine &engine, const PlanRequest &request, Instant now)
+{
+    std::uint32_t kept = 0;
+    for (const PromptPart &part : request.parts_) {
+        const auto found = engine.parts_.find(part.id_);
+        if (found == engine.parts_.end() || now - found->second > partLifetime)
+            break;
+        kept += part.tokens_;
+    }
+    return request.promptTokens_ - std::min(kept, request.promptTokens_);
+}
+
+void forgetOldParts(Engine &engine, Instant now)
+{
+    if (engine.parts_.size() <= maxParts)
+        return;
+    std::erase_if(engine.parts_,
+                  [&](const auto &item) { return now - item.second > partLifetime; });
+}
+
+} // namespace
+
+EngineCost weighEngine(const Engine &engine, const Upstream &upstream,
+                       const EngineCapacity &capacity, const PlanRequest &request,
+                       const InputBytes &inputs, Instant now)
+{
+    EngineCost cost;
+    cost.unreadTokens_ = unreadTokens(engine, request, now);
+    std::uint64_t queuedTokens = 0;
+    std::uint64_t heldTokens = request.promptTokens_ + request.outputTokens_;
+    for (const auto &[id, run] : engine.runs_) {
+        heldTokens += run.heldTokens_;
+        if (!run.started_)
+            queuedTokens += run.promptTokens_;
+    }
+    cost.full_ =
+        engine.runs_.size() >= capacity.slots_ || heldTokens > capacity.cacheTokens_;
+    for (const auto &[dataCenter, bytes] : inputs) {
+        if (dataCenter != upstream.dataCenter_)
+            cost.crossingBytes_ += bytes;
+    }
+    cost.wait_ = readTime(queuedTokens + cost.unreadTokens_);
+    const double crossing = static_cast<double>(cost.crossingBytes_) / bytesPerMb;
+    cost.total_ = cost.wait_ + costOfRun * static_cast<std::int64_t>(engine.runs_.size())
+        + nanoseconds(static_cast<std::int64_t>(crossing * costOfCrossing.count()));
+    return cost;
+}
+
+void startRun(Engine &engine, const PlanRequest &request, const EngineCost &cost, Instant now)
+{
+    engine.runs_[request.id_] = EngineRun{
+        cost.unreadTokens_, request.promptTokens_ + request.outputTokens_, now, false};
+    for (const PromptPart &part : request.parts_)
+        engine.parts_[part.id_] = now;
+    forgetOldParts(engine, now);
+}
+
+void promptRead(Engine &engine, const std::string &request)
+{
+    const auto found = engine.runs_.find(request);
+    if (found != engine.runs_.end())
+        found->second.started_ = true;
+}
+
+void endRun(Engine &engine, const std::string &request, bool failed, Instant now)
+{
+    engine.runs_.erase(request);
+    if (!failed) {
+        engine.failures_ = 0;
+        return;
+    }
+    const std::uint32_t doublings = std::min(engine.failures_, longestAvoidance);
+    engine.avoidUntil_ = now + firstAvoidance * (1 << doublings);
+    ++engine.failures_;
+}
+
+} // namespace chervilspring
--- a/packages/server/include/chervilspring/detail/net/http_client.hpp
+++ b/packages/server/include/chervilspring/detail/net/http_client.hpp
@@ -39,6 +39,7 @@
     std::string body_; ///< not filled if events were taken
     std::string detail_;
     std::string requestId_; ///< header X-Request-Id of the answer
+    std::vector<HttpHeader> headers_;
 };
 
 /// @brief Open connections for reuse. One thread owns it.
--- a/packages/server/include/chervilspring/detail/net/peer_network.hpp
+++ b/packages/server/include/chervilspring/detail/net/peer_network.hpp
@@ -18,6 +18,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 
 namespace chervilspring {
 
@@ -69,6 +70,10 @@
     /// @brief Where to dial a peer. A changed address takes effect with the next connection.
     void setAddress(const std::string &peer, const PeerAddress &address);
 
+    /// @brief Lets peers without an address be dialled if their name is an IP number.
+    /// @param port where they listen
+    void setDefaultPort(std::uint16_t port) { defaultPort_ = port; }
+
     /// @brief Sends a message, opening a connection if needed.
     ///
     /// Without an address and a connection the message is dropped: every protocol above asks again.
@@ -108,7 +113,10 @@
     PeerHandlers handlers_;
     std::unique_ptr<boost::asio::ip::tcp::acceptor> acceptor_;
     boost::asio::steady_timer pingTimer_;
+    std::optional<PeerAddress> addressOf(const std::string &peer) const;
+
     std::map<std::string, PeerAddress> addresses_;
+    std::uint16_t defaultPort_ = 0; ///< 0: only known addresses are dialled
     std::map<std::string, std::vector<LinkPointer>> links_; ///< newest last
     std::map<std::string, std::deque<Message>> waiting_; ///< while dialling
     std::map<std::string, Instant> dialledAt_;
--- /dev/null
+++ b/packages/server/include/chervilspring/detail/net/run_client.hpp
@@ -0,0 +1,68 @@
+/// @file
+/// @brief Runs requests at upstreams: sends them and passes answers on to callers as they come.
+#pragma once
+
+#include "chervilspring/detail/net/direct_protocol.hpp"
+#include "chervilspring/detail/net/direct_server.hpp"
+
+#include <functional>
+#include <set>
+
+namespace chervilspring {
+
+/// @brief What a client tells its owner, on the owner's thread.
+struct RunHandlers
+{
+    std::function<void(const RunStarted &)> started_;
+    std::function<void(const RunEnded &)> ended_;
+};
+
+/// @brief Connections to upstreams and the runs on them. One thread owns it.
+class RunClient
+{
+public:
+    RunClient(boost::asio::io_context &context, const DirectProtocol &protocol,
+              RunHandlers handlers);
+    ~RunClient();
+
+    /// @brief Starts a run; its end is reported later, never from within this call.
+    void start(StartRun run, DirectExchangePointer exchange);
+
+    /// @brief Stops a run. Its end isn't reported.
+    void stop(std::uint64_t token, std::uint32_t attempt);
+
+    /// @brief Gives the caller the answer that waits.
+    void deliver(std::uint64_t token, std::uint32_t attempt, const DirectExchangePointer &exchange);
+
+    /// @brief Connections opened since the start.
+    std::uint64_t opened() const { return opened_; }
+
+private:
+    struct Connection;
+    struct Run;
+    struct Held;
+    using ConnectionPointer = std::unique_ptr<Connection>;
+    using RunPointer = std::shared_ptr<Run>;
+    using RunKey = std::pair<std::uint64_t, std::uint32_t>;
+
+    boost::asio::awaitable<void> perform(RunPointer run);
+    boost::asio::awaitable<RunEnded> attempt(RunPointer run);
+    boost::asio::awaitable<bool> connect(RunPointer run, RunEnded &end);
+    boost::asio::awaitable<bool> exchangeHeads(RunPointer run, RunEnded &end, bool &unanswered);
+    boost::asio::awaitable<void> readWhole(RunPointer run, RunEnded &end);
+    boost::asio::awaitable<void> passStream(RunPointer run, RunEnded &end);
+    boost::asio::awaitable<bool> passEvents(RunPointer run, RunEnded &end, bool last);
+    void send(const RunPointer &run);
+    ConnectionPointer takeIdle(const Upstream &upstream);
+    void keep(const RunPointer &run);
+
+    boost::asio::io_context &context_;
+    const DirectProtocol &protocol_;
+    RunHandlers handlers_;
+    std::map<std::string, std::vector<ConnectionPointer>> idle_; ///< by address and instance
+    std::map<RunKey, RunPointer> runs_;
+    std::map<RunKey, std::unique_ptr<Held>> held_; ///< whole answers that wait for a decision
+    std::uint64_t opened_ = 0;
+};
+
+} // namespace chervilspring
--- a/packages/server/src/control_thread.cpp
+++ b/packages/server/src/control_thread.cpp
@@ -27,6 +27,8 @@
     control.consensus_.seed_ = randomId();
     control.consensus_.newCluster_ = randomId();
     control.nodeLease_ = settings.nodeLease_;
+    control.consensus_.openMembership_ = settings.openMembership_;
+    control.consensus_.mayFound_ = settings.firstStart_;
     return control;
 }
 
@@ -65,8 +67,9 @@
 } // namespace
 
 ControlThread::ControlThread(const Settings &settings, DiskLog log, const LoadedState &loaded,
-                             std::function<void(const Error &)> failed)
-    : settings_(settings), context_(1),
+                             std::function<void(const Error &)> failed,
+                             const DirectProtocol *protocol)
+    : settings_(settings), protocol_(protocol), context_(1),
       state_(makeControl(controlSettings(settings, loaded), loaded, BootClock::now())),
       network_(context_, PeerIdentity{settings.name_, randomId()}, settings.secret_,
                PeerHandlers{[this](const std::string &peer, Message message) {
@@ -88,6 +91,10 @@
         if (address.name_ != settings.name_)
             network_.setAddress(address.name_, PeerAddress{address.address_, address.port_});
     }
+    if (settings.openMembership_)
+        network_.setDefaultPort(settings.controlPort_);
+    if (protocol)
+        scheduler_ = std::make_unique<SchedulerThread>(settings, *protocol, trafficMetrics_);
 }
 
 ControlThread::~ControlThread()
@@ -104,6 +111,17 @@
 {
     network_.listen(settings_.address_, settings_.port_);
     http_.listen(settings_.address_, settings_.httpPort_);
+    if (scheduler_)
+        scheduler_->start();
+    if (settings_.metricsPort_ != 0) {
+        metricsServer_ = std::make_unique<HttpServer>(
+            context_, HttpLimits{}, [this](const HttpExchangePointer &exchange) {
+                setMetrics();
+                exchange->answer(HttpAnswer{200, "text/plain; version=0.0.4", {},
+                                            metrics_.text() + trafficMetrics_.text()});
+            });
+        metricsServer_->listen(settings_.address_, settings_.metricsPort_);
+    }
     asio::post(context_, [this] { handle(Wake{}); });
     thread_ = std::thread([this] {
         const auto guard = asio::make_work_guard(context_);
@@ -124,9 +142,53 @@
     ControlEffects effects;
     reduce(state_, BootClock::now(), wallNow(), event, effects);
     carryOut(effects);
+    shareView();
     armTimer();
 }
 
+// The scheduler works with the newest view that this process has applied.
+void ControlThread::shareView()
+{
+    const View &view = state_.fleet_.view_;
+    if (!scheduler_ || view.version_ == sharedVersion_)
+        return;
+    sharedVersion_ = view.version_;
+    scheduler_->post(std::make_shared<const View>(view));
+}
+
+void ControlThread::reload(const Settings &settings)
+{
+    asio::post(context_, [this, settings] {
+        std::vector<std::string> names;
+        for (const ControlAddress &address : settings.control_)
+            names.push_back(address.name_);
+        handle(SeedsChanged{names});
+    });
+}
+
+void ControlThread::propose(const Command &command,
+                            std::function<void(const AnswerProposal &)> done)
+{
+    const std::uint64_t token = nextToken_++;
+    proposals_[token] = std::move(done);
+    handle(LocalProposal{token, command});
+}
+
+void ControlThread::announce(const Upstream &upstream,
+                             std::function<void(const AnswerProposal &)> done)
+{
+    const std::uint64_t token = nextToken_++;
+    proposals_[token] = std::move(done);
+    handle(LocalAnnouncement{token, upstream});
+}
+
+void ControlThread::read(std::function<void(const AnswerRead &)> done)
+{
+    const std::uint64_t token = nextToken_++;
+    reads_[token] = std::move(done);
+    handle(LocalRead{token});
+}
+
 void ControlThread::carryOut(ControlEffects &effects)
 {
     for (ControlEffect &effect : effects) {
@@ -167,6 +229,10 @@
 
 void ControlThread::onHttp(const HttpExchangePointer &exchange)
 {
+    if (protocol_) {
+        protocol_->onControlCall_(*this, exchange);
+        return;
+    }
     const std::string path = exchange->path();
     if (path == "/healthz") {
         exchange->answer(HttpAnswer{200, "text/plain", {}, "ok\n"});
@@ -213,6 +279,13 @@
 
 void ControlThread::answerProposal(const AnswerProposal &answer)
 {
+    const auto waiting = proposals_.find(answer.token_);
+    if (waiting != proposals_.end()) {
+        const auto done = std::move(waiting->second);
+        proposals_.erase(waiting);
+        done(answer);
+        return;
+    }
     const auto found = exchanges_.find(answer.token_);
     if (found == exchanges_.end())
         return;
@@ -236,6 +309,13 @@
 
 void ControlThread::answerRead(const AnswerRead &answer)
 {
+    const auto waiting = reads_.find(answer.token_);
+    if (waiting != reads_.end()) {
+        const auto done = std::move(waiting->second);
+        reads_.erase(waiting);
+        done(answer);
+        return;
+    }
     const auto found = exchanges_.find(answer.token_);
     if (found == exchanges_.end())
         return;
--- /dev/null
+++ b/packages/server/src/event_splitter.cpp
@@ -0,0 +1,82 @@
+#include "chervilspring/detail/net/event_splitter.hpp"
+
+#include <charconv>
+
+namespace chervilspring {
+
+namespace {
+
+constexpr std::string_view separator = "\n\n";
+constexpr std::string_view idField = "id:";
+
+std::optional<std::uint64_t> numberOf(std::string_view text)
+{
+    std::uint64_t value = 0;
+    const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), value);
+    if (error != std::errc() || end != text.data() + text.size())
+        return std::nullopt;
+    return value;
+}
+
+// Value of the event's field "id", empty if it has none.
+std::string_view idOf(std::string_view event)
+{
+    while (!event.empty()) {
+        const std::string_view line = event.substr(0, event.find('\n'));
+        event.remove_prefix(std::min(event.size(), line.size() + 1));
+        if (!line.starts_with(idField))
+            continue;
+        std::string_view value = line.substr(idField.size());
+        if (value.starts_with(' '))
+            value.remove_prefix(1);
+        return value;
+    }
+    return {};
+}
+
+} // namespace
+
+EventSplitter::EventSplitter(const std::string &after)
+    : lastId_(after), lastNumber_(numberOf(after))
+{ }
+
+// Returns false for an event that the caller already has.
+bool EventSplitter::note(std::string_view event)
+{
+    const std::string_view id = idOf(event);
+    if (id.empty())
+        return true;
+    const auto number = numberOf(id);
+    if (number && lastNumber_ && *number <= *lastNumber_)
+        return false;
+    if (number && lastNumber_ && *number != *lastNumber_ + 1)
+        gap_ = true;
+    lastId_ = id;
+    lastNumber_ = number;
+    return true;
+}
+
+std::string EventSplitter::takeEvents()
+{
+    std::string events;
+    std::size_t begin = 0;
+    for (auto end = pending_.find(separator); end != std::string::npos;
+         end = pending_.find(separator, begin)) {
+        const std::size_t next = end + separator.size();
+        const std::string_view event(pending_.data() + begin, next - begin);
+        if (note(event))
+            events += event;
+        begin = next;
+    }
+    pending_.erase(0, begin);
+    return events;
+}
+
+std::string EventSplitter::takeRest()
+{
+    std::string rest = std::move(pending_);
+    pending_.clear();
+    return rest;
+}
+
+} // namespace chervilspring
--- a/packages/server/src/http_client.cpp
+++ b/packages/server/src/http_client.cpp
@@ -125,6 +125,8 @@
     result.contentType_ = std::string(parser.get()[http::field::content_type]);
     result.requestId_ = std::string(parser.get()["X-Request-Id"]);
     result.body_ = parser.get().body();
+    for (const auto &field : parser.get())
+        result.headers_.push_back({std::string(field.name_string()), std::string(field.value())});
     keep = parser.get().keep_alive();
     if (keep)
         stream.expires_never();
--- a/packages/server/src/node_thread.cpp
+++ b/packages/server/src/node_thread.cpp
@@ -18,6 +18,7 @@
     node.isEntry_ = settings.role_ == Role::Entry;
     for (const ControlAddress &control : settings.control_)
         node.controlNames_.push_back(control.name_);
+    node.openMembership_ = settings.openMembership_;
     node.seed_ = randomId();
     return node;
 }
@@ -47,10 +48,12 @@
                             [this](const std::string &peer) { handle(PeerLost{peer}); },
                             {}}),
       timer_(context_), published_(std::make_shared<const ViewChanged>(
-                            ViewChanged{std::make_shared<const View>(), Instant{}, 0, Instant{}}))
+                            ViewChanged{std::make_shared<const View>()}))
 {
     for (const ControlAddress &control : settings.control_)
         network_.setAddress(control.name_, PeerAddress{control.address_, control.port_});
+    if (settings.openMembership_)
+        network_.setDefaultPort(settings.controlPort_);
 }
 
 NodeThread::~NodeThread()
--- a/packages/server/src/peer_network.cpp
+++ b/packages/server/src/peer_network.cpp
@@ -119,6 +119,18 @@
     dialledAt_.erase(peer);
 }
 
+std::optional<PeerAddress> PeerNetwork::addressOf(const std::string &peer) const
+{
+    const auto known = addresses_.find(peer);
+    if (known != addresses_.end())
+        return known->second;
+    boost::system::error_code error;
+    asio::ip::make_address_v4(peer, error);
+    if (error || defaultPort_ == 0)
+        return std::nullopt;
+    return PeerAddress{peer, defaultPort_};
+}
+
 bool PeerNetwork::connected(const std::string &peer) const
 {
     const auto found = links_.find(peer);
@@ -132,8 +144,8 @@
         enqueue(found->second.back(), message);
         return;
     }
-    const auto address = addresses_.find(peer);
-    if (address == addresses_.end() || closed_)
+    const auto address = addressOf(peer);
+    if (!address || closed_)
         return;
     auto &waiting = waiting_[peer];
     if (waiting.size() < maxWaiting)
@@ -144,7 +156,7 @@
     if (dialling)
         return;
     dialled = now;
-    asio::co_spawn(context_, dial(peer, address->second), asio::detached);
+    asio::co_spawn(context_, dial(peer, *address), asio::detached);
 }
 
 void PeerNetwork::close()
--- /dev/null
+++ b/packages/server/src/run_client.cpp
@@ -0,0 +1,418 @@
+#include "chervilspring/detail/net/run_client.hpp"
+
+#include "chervilspring/detail/net/event_splitter.hpp"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+
+#include <charconv>
+
+namespace chervilspring {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+using asio::use_awaitable;
+using asio::ip::tcp;
+
+namespace {
+
+constexpr auto connectLimit = milliseconds(500); // a connection that is lost is dialled anew
+constexpr nanoseconds longestIdle = seconds(4); // of a connection that is used again
+constexpr nanoseconds idleMargin = seconds(1); // before the upstream closes it
+constexpr std::size_t maxIdle = 32; // connections kept open to one upstream
+constexpr std::size_t readBytes = 16384;
+constexpr std::size_t maxHeldAnswer = 8u << 20; // bytes of an answer that isn't a stream
+constexpr unsigned statusOk = 200;
+constexpr unsigned successClass = 2;
+constexpr std::string_view eventStream = "text/event-stream";
+
+std::string keyOf(const Upstream &upstream)
+{
+    return upstream.agentAddress_ + ":" + std::to_string(upstream.agentPort_) + "/"
+        + upstream.name_;
+}
+
+// Headers that concern one connection only (RFC 9110, 7.6.1).
+bool isConnectionHeader(std::string_view name)
+{
+    static constexpr std::string_view names[] = {
+        "Connection",          "Keep-Alive", "Proxy-Connection", "Transfer-Encoding",
+        "Proxy-Authorization", "TE",         "Trailer",          "Upgrade",
+        "Content-Length",      "Expect",     "Proxy-Authenticate"};
+    return std::any_of(std::begin(names), std::end(names), [&](std::string_view known) {
+        return beast::iequals(known, name);
+    });
+}
+
+template<typename Fields> bool isNamedInConnection(const Fields &fields, std::string_view name)
+{
+    const auto value = fields[http::field::connection];
+    return !value.empty() && http::token_list(value).exists(name);
+}
+
+std::string requestHead(const HttpRequest &request, const DirectProtocol &protocol,
+                        const StartRun &run)
+{
+    std::string head(request.method_string());
+    head += " ";
+    head += request.target();
+    head += " HTTP/1.1\r\n";
+    for (const auto &field : request) {
+        const std::string_view name = field.name_string();
+        if (isConnectionHeader(name) || isNamedInConnection(request, name)
+            || protocol.isOwnHeader_(name))
+            continue;
+        head += name;
+        head += ": ";
+        head += field.value();
+        head += "\r\n";
+    }
+    for (const HttpHeader &header : protocol.runHeaders_(run))
+        head += header.name_ + ": " + header.value_ + "\r\n";
+    const bool hasBody = !request.body().empty() || request.method() == http::verb::post
+        || request.method() == http::verb::put;
+    if (hasBody)
+        head += "Content-Length: " + std::to_string(request.body().size()) + "\r\n";
+    return head + "\r\n";
+}
+
+std::string answerHead(const http::response_header<> &head)
+{
+    std::string text = "HTTP/1.1 " + std::to_string(head.result_int()) + " "
+        + std::string(head.reason()) + "\r\n";
+    for (const auto &field : head) {
+        const std::string_view name = field.name_string();
+        if (isConnectionHeader(name) || isNamedInConnection(head, name))
+            continue;
+        text += name;
+        text += ": ";
+        text += field.value();
+        text += "\r\n";
+    }
+    return text;
+}
+
+// Time that the upstream keeps an idle connection open.
+nanoseconds keepAliveTime(const http::response_header<> &head)
+{
+    const std::string_view value = head[http::field::keep_alive];
+    const auto found = value.find("timeout=");
+    if (found == std::string_view::npos)
+        return longestIdle;
+    std::int64_t time = 0;
+    const std::string_view digits = value.substr(found + std::string_view("timeout=").size());
+    const auto [end, error] = std::from_chars(digits.data(), digits.data() + digits.size(), time);
+    if (error != std::errc())
+        return longestIdle;
+    return std::min<nanoseconds>(longestIdle, seconds(time) - idleMargin);
+}
+
+} // namespace
+
+struct RunClient::Connection
+{
+    explicit Connection(asio::io_context &context) : stream_(context) { }
+
+    beast::tcp_stream stream_;
+    beast::flat_buffer buffer_;
+    Instant usableUntil_{};
+};
+
+struct RunClient::Run
+{
+    StartRun order_;
+    DirectExchangePointer exchange_;
+    ConnectionPointer connection_;
+    std::string head_; ///< of the request, as it is sent
+    bool written_ = false; ///< the whole request is out
+    bool stopped_ = false;
+    bool reused_ = false; ///< the connection was open before
+    std::unique_ptr<http::response_parser<http::buffer_body>> parser_;
+    std::unique_ptr<EventSplitter> events_;
+    std::string answerHead_; ///< for the caller; empty once it went out
+};
+
+struct RunClient::Held
+{
+    std::string head_;
+    std::string body_;
+};
+
+RunClient::RunClient(asio::io_context &context, const DirectProtocol &protocol,
+                     RunHandlers handlers)
+    : context_(context), protocol_(protocol), handlers_(std::move(handlers))
+{ }
+
+RunClient::~RunClient() = default;
+
+void RunClient::start(StartRun order, DirectExchangePointer exchange)
+{
+    auto run = std::make_shared<Run>();
+    run->order_ = std::move(order);
+    run->exchange_ = std::move(exchange);
+    run->head_ = requestHead(run->exchange_->request(), protocol_, run->order_);
+    runs_[{run->order_.token_, run->order_.attempt_}] = run;
+    asio::co_spawn(context_, perform(run), asio::detached);
+}
+
+void RunClient::stop(std::uint64_t token, std::uint32_t attempt)
+{
+    held_.erase({token, attempt});
+    const auto found = runs_.find({token, attempt});
+    if (found == runs_.end())
+        return;
+    const RunPointer run = found->second;
+    run->stopped_ = true;
+    if (run->connection_)
+        run->connection_->stream_.close();
+}
+
+void RunClient::deliver(std::uint64_t token, std::uint32_t attempt,
+                        const DirectExchangePointer &exchange)
+{
+    const auto found = held_.find({token, attempt});
+    if (found == held_.end())
+        return;
+    exchange->answer(std::move(found->second->head_), found->second->body_);
+    held_.erase(found);
+}
+
+asio::awaitable<void> RunClient::perform(RunPointer run)
+{
+    // The owner's reducer is never called from within its own effect.
+    co_await asio::post(context_, use_awaitable);
+    RunEnded end = co_await attempt(run);
+    runs_.erase({run->order_.token_, run->order_.attempt_});
+    run->connection_.reset();
+    if (!run->stopped_)
+        handlers_.ended_(end);
+}
+
+asio::awaitable<RunEnded> RunClient::attempt(RunPointer run)
+{
+    RunEnded end;
+    end.token_ = run->order_.token_;
+    end.attempt_ = run->order_.attempt_;
+    bool unanswered = false;
+    if (run->stopped_ || !co_await connect(run, end))
+        co_return end;
+    bool headRead = co_await exchangeHeads(run, end, unanswered);
+    // An idle connection may have been closed by the upstream; a new one decides.
+    if (!headRead && unanswered && run->reused_ && !run->stopped_) {
+        run->connection_.reset();
+        idle_.erase(keyOf(run->order_.upstream_));
+        end.detail_.clear();
+        if (!co_await connect(run, end))
+            co_return end;
+        headRead = co_await exchangeHeads(run, end, unanswered);
+    }
+    if (!headRead)
+        co_return end;
+    const std::string_view type = run->parser_->get()[http::field::content_type];
+    const bool streamed = run->order_.streaming_ && type.starts_with(eventStream)
+        && end.status_ == statusOk;
+    if (streamed)
+        co_await passStream(run, end);
+    else
+        co_await readWhole(run, end);
+    co_return end;
+}
+
+RunClient::ConnectionPointer RunClient::takeIdle(const Upstream &upstream)
+{
+    const auto found = idle_.find(keyOf(upstream));
+    if (found == idle_.end())
+        return nullptr;
+    const Instant now = BootClock::now();
+    auto &list = found->second;
+    std::erase_if(list, [&](const ConnectionPointer &item) { return item->usableUntil_ < now; });
+    if (list.empty()) {
+        idle_.erase(found);
+        return nullptr;
+    }
+    ConnectionPointer connection = std::move(list.back());
+    list.pop_back();
+    return connection;
+}
+
+void RunClient::keep(const RunPointer &run)
+{
+    const auto &head = run->parser_->get().base();
+    const nanoseconds time = keepAliveTime(head);
+    // Bytes after the answer belong to no request: such a connection can't be trusted.
+    const bool clean = run->parser_->is_done() && run->parser_->keep_alive() && run->written_
+        && run->connection_->buffer_.size() == 0;
+    auto &list = idle_[keyOf(run->order_.upstream_)];
+    if (!clean || time <= nanoseconds(0) || list.size() >= maxIdle)
+        return;
+    run->connection_->usableUntil_ = BootClock::now() + time;
+    list.push_back(std::move(run->connection_));
+}
+
+asio::awaitable<bool> RunClient::connect(RunPointer run, RunEnded &end)
+{
+    const Upstream &upstream = run->order_.upstream_;
+    // A request that must not run twice gets a connection of its own: if one that was idle breaks,
+    // nobody can tell whether the request was read.
+    run->connection_ = run->order_.repeatable_ ? takeIdle(upstream) : nullptr;
+    run->reused_ = run->connection_ != nullptr;
+    if (run->reused_)
+        co_return true;
+    run->connection_ = std::make_unique<Connection>(context_);
+    ++opened_;
+    beast::tcp_stream &stream = run->connection_->stream_;
+    stream.expires_after(std::min<nanoseconds>(connectLimit, run->order_.remaining_));
+    boost::system::error_code error;
+    const tcp::endpoint endpoint(asio::ip::make_address(upstream.agentAddress_),
+                                 upstream.agentPort_);
+    co_await stream.async_connect(endpoint, asio::redirect_error(use_awaitable, error));
+    if (error || run->stopped_) {
+        end.end_ = RunEnd::NotSent;
+        end.detail_ = "connect: " + error.message();
+        co_return false;
+    }
+    stream.expires_never();
+    boost::system::error_code ignored;
+    stream.socket().set_option(tcp::no_delay(true), ignored);
+    co_return true;
+}
+
+// Writes the request while the answer is awaited: an upstream may answer before it has read a long
+// body. The run stays alive until the write has ended.
+void RunClient::send(const RunPointer &run)
+{
+    run->written_ = false;
+    const std::array<asio::const_buffer, 2> buffers = {
+        asio::buffer(run->head_), asio::buffer(run->exchange_->request().body())};
+    asio::async_write(run->connection_->stream_, buffers,
+                      [run](boost::system::error_code error, std::size_t) {
+                          run->written_ = !error;
+                      });
+}
+
+asio::awaitable<bool> RunClient::exchangeHeads(RunPointer run, RunEnded &end, bool &unanswered)
+{
+    Connection &connection = *run->connection_;
+    run->parser_ = std::make_unique<http::response_parser<http::buffer_body>>();
+    run->parser_->body_limit(boost::none);
+    if (run->exchange_->request().method() == http::verb::head)
+        run->parser_->skip(true);
+    send(run);
+    boost::system::error_code error;
+    co_await http::async_read_header(connection.stream_, connection.buffer_, *run->parser_,
+                                     asio::redirect_error(use_awaitable, error));
+    unanswered = error && !run->parser_->got_some();
+    if (error) {
+        end.end_ = RunEnd::Failed;
+        end.detail_ = "answer head: " + error.message();
+        co_return false;
+    }
+    const auto &head = run->parser_->get();
+    const RunAnswer answer = protocol_.decodeAnswer_(head, run->order_.id_);
+    end.status_ = head.result_int();
+    if (answer.matches_ && (answer.notExecuted_ || answer.inputsGone_)) {
+        end.end_ = answer.inputsGone_ ? RunEnd::InputsGone : RunEnd::NotExecuted;
+        end.detail_ = "status " + std::to_string(end.status_);
+        co_return false;
+    }
+    if (!answer.matches_ || !answer.genuine_) {
+        end.end_ = RunEnd::Failed;
+        end.detail_ = answer.detail_;
+        co_return false;
+    }
+    run->answerHead_ = answerHead(head);
+    co_return true;
+}
+
+asio::awaitable<void> RunClient::readWhole(RunPointer run, RunEnded &end)
+{
+    Connection &connection = *run->connection_;
+    auto held = std::make_unique<Held>();
+    boost::system::error_code error;
+    std::string piece(readBytes, '\0');
+    while (!run->parser_->is_done() && held->body_.size() <= maxHeldAnswer) {
+        run->parser_->get().body().data = piece.data();
+        run->parser_->get().body().size = piece.size();
+        co_await http::async_read_some(connection.stream_, connection.buffer_, *run->parser_,
+                                       asio::redirect_error(use_awaitable, error));
+        if (error == http::error::need_buffer)
+            error = {};
+        held->body_.append(piece, 0, piece.size() - run->parser_->get().body().size);
+        if (error)
+            break;
+    }
+    if (error || !run->parser_->is_done()) {
+        end.end_ = RunEnd::Failed;
+        end.detail_ = "answer body: " + (error ? error.message() : std::string("too large"));
+        co_return;
+    }
+    held->head_ = run->answerHead_;
+    end.end_ = RunEnd::Held;
+    keep(run);
+    if (!run->stopped_)
+        held_[{run->order_.token_, run->order_.attempt_}] = std::move(held);
+}
+
+// Passes on what is complete. Returns false if the caller can't be reached.
+asio::awaitable<bool> RunClient::passEvents(RunPointer run, RunEnded &end, bool last)
+{
+    std::string events = run->events_->takeEvents();
+    if (last)
+        events += run->events_->takeRest();
+    end.lastEventId_ = run->events_->lastId();
+    if (events.empty() && !last)
+        co_return true;
+    const bool first = !run->answerHead_.empty();
+    const bool continued = run->exchange_->headSent();
+    std::string head = std::exchange(run->answerHead_, {});
+    if (continued)
+        head.clear();
+    if (!co_await run->exchange_->stream(std::move(head), std::move(events), last))
+        co_return false;
+    if (first && !run->stopped_)
+        handlers_.started_(RunStarted{run->order_.token_, run->order_.attempt_});
+    co_return true;
+}
+
+asio::awaitable<void> RunClient::passStream(RunPointer run, RunEnded &end)
+{
+    Connection &connection = *run->connection_;
+    const bool continued = run->exchange_->headSent();
+    run->events_ = std::make_unique<EventSplitter>(run->order_.lastEventId_);
+    boost::system::error_code error;
+    std::string piece(readBytes, '\0');
+    bool reachable = true;
+    while (!run->parser_->is_done() && reachable && !error && !run->events_->hasGap()) {
+        run->parser_->get().body().data = piece.data();
+        run->parser_->get().body().size = piece.size();
+        if (run->order_.gapLimit_ > nanoseconds(0) && run->answerHead_.empty())
+            connection.stream_.expires_after(run->order_.gapLimit_);
+        co_await http::async_read_some(connection.stream_, connection.buffer_, *run->parser_,
+                                       asio::redirect_error(use_awaitable, error));
+        if (error == http::error::need_buffer)
+            error = {};
+        const std::size_t count = piece.size() - run->parser_->get().body().size;
+        run->events_->add(std::string_view(piece).substr(0, count));
+        if (!run->parser_->is_done() && count > 0)
+            reachable = co_await passEvents(run, end, false);
+    }
+    connection.stream_.expires_never();
+    const bool whole = run->parser_->is_done() && !error && !run->events_->hasGap();
+    if (whole && reachable)
+        reachable = co_await passEvents(run, end, true);
+    if (whole && reachable) {
+        end.end_ = RunEnd::Delivered;
+        keep(run);
+        co_return;
+    }
+    const bool begun = continued || run->exchange_->headSent();
+    end.end_ = begun ? RunEnd::Broken : RunEnd::Failed;
+    end.detail_ = reachable ? "stream: " + error.message() : "the caller can't be reached";
+}
+
+} // namespace chervilspring
--- a/packages/server/src/run_process.cpp
+++ b/packages/server/src/run_process.cpp
@@ -1,5 +1,6 @@
 #include "chervilspring/detail/process/agent_thread.hpp"
 #include "chervilspring/detail/process/control_thread.hpp"
+#include "chervilspring/detail/process/direct_thread.hpp"
 #include "chervilspring/detail/process/entry_shard.hpp"
 #include "chervilspring/digest.hpp"
 #include "chervilspring/log.hpp"
@@ -19,6 +20,7 @@
 
 constexpr int exitPort = 3;
 constexpr int exitStorage = 4;
+constexpr auto settingsInterval = seconds(2); // between looks at the settings file
 
 void logStart(const Settings &settings, std::uint16_t httpPort)
 {
@@ -33,6 +35,85 @@
     return [&main] { asio::post(main, [&main] { main.stop(); }); };
 }
 
+// Reads the settings file again on SIGHUP, and when its content has changed without a signal.
+class Reload
+{
+public:
+    Reload(asio::io_context &main, std::string file)
+        : file_(std::move(file)), signals_(main, SIGHUP), timer_(main)
+    { }
+
+    void start(std::function<void(const Settings &)> apply)
+    {
+        apply_ = std::move(apply);
+        content_ = read();
+        waitForSignal();
+        waitForChange();
+    }
+
+private:
+    std::string read() const
+    {
+        std::string content;
+        handleErrors(
+            [&]() -> leaf::result<void> {
+                BOOST_LEAF_ASSIGN(content, readFile(file_));
+                return {};
+            },
+            [](const Error &error) { writeLog(LogLevel::Warn, "reload " + toString(error)); });
+        return content;
+    }
+
+    void reload(const char *reason)
+    {
+        handleErrors(
+            [&]() -> leaf::result<void> {
+                BOOST_LEAF_AUTO(settings, parseSettings(content_, file_));
+                writeLog(LogLevel::Info, std::string("reloaded reason=") + reason
+                             + " seeds=" + std::to_string(settings.control_.size()));
+                apply_(settings);
+                return {};
+            },
+            [](const Error &error) {
+                writeLog(LogLevel::Error, "reload refused, old settings stay: " + toString(error));
+            });
+    }
+
+    void waitForSignal()
+    {
+        signals_.async_wait([this](boost::system::error_code error, int) {
+            if (error)
+                return;
+            content_ = read();
+            reload("signal");
+            waitForSignal();
+        });
+    }
+
+    void waitForChange()
+    {
+        if (file_.empty())
+            return;
+        timer_.expires_after(settingsInterval);
+        timer_.async_wait([this](boost::system::error_code error) {
+            if (error)
+                return;
+            std::string content = read();
+            if (!content.empty() && content != content_) {
+                content_ = std::move(content);
+                reload("changed");
+            }
+            waitForChange();
+        });
+    }
+
+    std::string file_;
+    std::string content_;
+    std::function<void(const Settings &)> apply_;
+    asio::signal_set signals_;
+    asio::steady_timer timer_;
+};
+
 void runEntry(const Settings &settings, asio::io_context &main, asio::signal_set &signals)
 {
     const std::uint64_t boot = randomId();
@@ -79,6 +160,30 @@
     main.run();
 }
 
+void runRoutes(const Settings &settings, const DirectProtocol &protocol, Reload &reload,
+               asio::io_context &main, asio::signal_set &signals)
+{
+    std::unique_ptr<DirectThread> traffic;
+    NodeCallbacks callbacks;
+    callbacks.published_ = [&] { traffic->published(); };
+    NodeThread node(settings, PeerIdentity{settings.name_, randomId()}, callbacks);
+    traffic = std::make_unique<DirectThread>(settings, protocol, node);
+    traffic->start();
+    node.start();
+    logStart(settings, settings.httpPort_);
+    reload.start([&](const Settings &newer) {
+        ControlNamesChanged event;
+        for (const ControlAddress &control : newer.control_)
+            event.names_.push_back(control.name_);
+        node.post(event);
+    });
+    signals.async_wait([&](boost::system::error_code, int) {
+        writeLog(LogLevel::Info, "stopping name=" + settings.name_);
+        traffic->stop(settings.grace_, stopper(main));
+    });
+    main.run();
+}
+
 void runAgent(const Settings &settings, asio::io_context &main, asio::signal_set &signals)
 {
     const std::uint64_t boot = randomId();
@@ -127,7 +232,8 @@
     return DiskLog::open(settings.dataFolder_, systemDiskCalls());
 }
 
-int runControl(const Settings &settings, asio::io_context &main, asio::signal_set &signals)
+int runControl(const Settings &settings, const DirectProtocol *protocol, Reload &reload,
+               asio::io_context &main, asio::signal_set &signals)
 {
     std::unique_ptr<ControlThread> control;
     const bool opened = handleErrors(
@@ -140,7 +246,8 @@
                 settings, std::move(storage.first), storage.second, [](const Error &error) {
                     writeLog(LogLevel::Error, toString(error));
                     std::_Exit(exitStorage);
-                });
+                },
+                protocol);
             return {};
         },
         [](const Error &error) { writeLog(LogLevel::Error, toString(error)); });
@@ -148,6 +255,7 @@
         return exitStorage;
     control->start();
     logStart(settings, settings.httpPort_);
+    reload.start([&](const Settings &newer) { control->reload(newer); });
     signals.async_wait([&](boost::system::error_code, int) {
         writeLog(LogLevel::Info, "stopping name=" + settings.name_);
         control->stop(stopper(main));
@@ -158,24 +266,29 @@
 
 } // namespace
 
-int runProcess(const Settings &settings)
+int runProcess(const Settings &settings, const std::string &settingsFile,
+               const DirectProtocol *protocol)
 {
     openLog(settings.logFile_, settings.logLevel_);
     asio::io_context main(1);
     // The loop has to outlive the signal: it ends when the last request is answered.
     const auto guard = asio::make_work_guard(main);
     asio::signal_set signals(main, SIGTERM, SIGINT);
+    Reload reload(main, settingsFile);
     int status = 0;
     try {
         switch (settings.role_) {
         case Role::Entry:
-            runEntry(settings, main, signals);
+            if (protocol)
+                runRoutes(settings, *protocol, reload, main, signals);
+            else
+                runEntry(settings, main, signals);
             break;
         case Role::Agent:
             runAgent(settings, main, signals);
             break;
         case Role::Control:
-            status = runControl(settings, main, signals);
+            status = runControl(settings, protocol, reload, main, signals);
             break;
         }
     } catch (const boost::system::system_error &error) {
--- /dev/null
+++ b/packages/server/src/scheduler_thread.cpp
@@ -0,0 +1,120 @@
+#include "chervilspring/detail/process/scheduler_thread.hpp"
+
+#include "chervilspring/detail/process/node_thread.hpp"
+#include "chervilspring/digest.hpp"
+#include "chervilspring/log.hpp"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/post.hpp>
+
+namespace chervilspring {
+
+namespace asio = boost::asio;
+
+SchedulerThread::SchedulerThread(const Settings &settings, const DirectProtocol &protocol,
+                                 TrafficMetrics &metrics)
+    : settings_(settings), protocol_(protocol), metrics_(metrics), context_(1),
+      network_(context_, PeerIdentity{settings.name_, randomId()}, settings.secret_,
+               PeerHandlers{[this](const std::string &peer, Message message) {
+                                handle(PeerMessage{peer, std::move(message)});
+                            },
+                            [this](const std::string &peer) { handle(PeerLost{peer}); },
+                            {}}),
+      client_(context_), timer_(context_)
+{ }
+
+SchedulerThread::~SchedulerThread()
+{
+    asio::post(context_, [this] {
+        network_.close();
+        context_.stop();
+    });
+    if (thread_.joinable())
+        thread_.join();
+}
+
+void SchedulerThread::start()
+{
+    network_.listen(settings_.address_, schedulerPort(settings_));
+    thread_ = std::thread([this] {
+        const auto guard = asio::make_work_guard(context_);
+        context_.run();
+    });
+}
+
+void SchedulerThread::post(ViewPointer view)
+{
+    asio::post(context_, [this, view = std::move(view)] { handle(SchedulerView{view}); });
+}
+
+void SchedulerThread::handle(const SchedulerEvent &event)
+{
+    SchedulerEffects effects;
+    reduce(state_, BootClock::now(), event, effects);
+    carryOut(effects);
+    armTimer();
+}
+
+void SchedulerThread::carryOut(SchedulerEffects &effects)
+{
+    for (SchedulerEffect &effect : effects) {
+        std::visit(Overloaded{
+                       [&](const SendToPeer &e) { network_.send(e.peer_, e.message_); },
+                       [&](StartStageCall &e) {
+                           metrics_.count("stage_calls_total");
+                           metrics_.count("stage_pieces_total", e.items_.size());
+                           asio::co_spawn(context_, callStage(std::move(e)), asio::detached);
+                       },
+                       [&](FreeResults &e) {
+                           asio::co_spawn(context_, freeResults(std::move(e)), asio::detached);
+                       },
+                       [](const DecisionLine &e) { writeLog(LogLevel::Info, e.text_); },
+                   },
+                   effect);
+    }
+}
+
+void SchedulerThread::armTimer()
+{
+    const Instant wake = nextWake(state_);
+    const Instant now = BootClock::now();
+    // A timer that fires too early only looks once more; moving it costs more than that.
+    if (timerAt_ > now && timerAt_ <= wake)
+        return;
+    timerAt_ = now + until(wake, now);
+    timer_.expires_after(until(wake, now));
+    timer_.async_wait([this](boost::system::error_code error) {
+        if (error)
+            return;
+        timerAt_ = Instant{};
+        handle(Wake{});
+    });
+}
+
+asio::awaitable<void> SchedulerThread::callStage(StartStageCall call)
+{
+    const Instant started = BootClock::now();
+    HttpCall request = protocol_.encodeStageCall_(call);
+    request.limit_ = call.limit_;
+    request.reuse_ = true;
+    const HttpCallResult result = co_await client_.perform(std::move(request));
+    const StageCallEnded ended = protocol_.decodeStageCall_(call, result);
+    metrics_.observe("stage_call_seconds", "", BootClock::now() - started);
+    if (ended.end_ != StageCallEnd::Done)
+        metrics_.count("stage_calls_failed_total");
+    handle(ended);
+}
+
+asio::awaitable<void> SchedulerThread::freeResults(FreeResults results)
+{
+    HttpCall request = protocol_.encodeFree_(results);
+    request.reuse_ = true;
+    const HttpCallResult result = co_await client_.perform(std::move(request));
+    if (result.end_ != HttpCallEnd::Answered)
+        writeLog(LogLevel::Warn,
+                 "results not freed upstream=" + results.upstream_.name_ + " count="
+                     + std::to_string(results.handles_.size()) + " reason=" + result.detail_);
+}
+
+} // namespace chervilspring
--- a/packages/wire/schema/fleet.capnp
+++ b/packages/wire/schema/fleet.capnp
@@ -70,6 +70,9 @@
   name @0 :Text;
   selector @1 :Text;
   labels @2 :List(Label);
+  connectionLimit @3 :UInt32;
+  pieces @4 :PieceCapacity;
+  engine @5 :EngineCapacity;
 }
 
 struct Account {
@@ -79,6 +82,8 @@
   credentialDigest @3 :Text;
   requestsPerSecond @4 :UInt32;
   concurrency @5 :UInt32;
+  keyDigests @6 :List(Text);
+  priority @7 :UInt32;
 }
 
 struct Policy {
@@ -91,12 +96,70 @@
   serveWhenStale @6 :Bool;
 }
 
+struct PieceCapacity {
+  calls @0 :UInt32;
+  queue @1 :UInt32;
+  batch @2 :UInt32;
+  callTime @3 :Int64;
+  pieceTime @4 :Int64;
+  resultBytes @5 :UInt64;
+  resultLifetime @6 :Int64;
+}
+
+struct EngineCapacity {
+  slots @0 :UInt32;
+  cacheTokens @1 :UInt64;
+}
+
+enum RouteKind {
+  safe @0;
+  unsafe @1;
+  streaming @2;
+}
+
+struct RouteTarget {
+  pool @0 :Text;
+  weight @1 :UInt32;
+}
+
+struct RouteStage {
+  pool @0 :Text;
+  after @1 :List(UInt32);
+  resultBytes @2 :UInt64;
+}
+
+struct RouteSpec {
+  name @0 :Text;
+  host @1 :Text;
+  pathPrefix @2 :Text;
+  kind @3 :RouteKind;
+  priority @4 :UInt32;
+  maxAttempts @5 :UInt32;
+  timeout @6 :Int64;
+  objective @7 :Int64;
+  gapObjective @8 :Int64;
+  open @9 :Bool;
+  affine @10 :Bool;
+  resumable @11 :Bool;
+  targets @12 :List(RouteTarget);
+  stages @13 :List(RouteStage);
+}
+
+struct CallerLimits {
+  headerBytes @0 :UInt32;
+  bodyBytes @1 :UInt32;
+  headerTime @2 :Int64;
+  idleTime @3 :Int64;
+}
+
 struct Fleet {
   retention @0 :Int64;
   pipelines @1 :List(PipelineSpec);
   pools @2 :List(Pool);
   accounts @3 :List(Account);
   policies @4 :List(Policy);
+  routes @5 :List(RouteSpec);
+  limits @6 :CallerLimits;
 }
 
 struct RequestId {
@@ -122,6 +185,8 @@
   drained @7 :Bool;
   labels @8 :List(Label);
   operatorLabels @9 :List(Label);
+  direct @10 :Bool;
+  sequence @11 :UInt64;
 }
 
 struct Suspect {
@@ -291,6 +356,7 @@
 struct RemoveUpstream {
   name @0 :Text;
   agentBoot @1 :UInt64;
+  departed @2 :Bool;
 }
 
 struct ReportCrash {
@@ -365,6 +431,7 @@
   granted @4 :Bool;
   share @5 :UInt32;
   shareLease @6 :Int64;
+  members @7 :List(Text);
 }
 
 struct VoteRequest {
@@ -419,6 +486,9 @@
   records @6 :List(Record);
   operationIds @7 :List(Text);
   operationOutcomes @8 :List(Outcome);
+  documentVersion @9 :UInt64;
+  document @10 :Data;
+  departures @11 :List(Departure);
 }
 
 struct InstallSnapshot {
@@ -437,6 +507,68 @@
 struct Join {
   cluster @0 :UInt64;
   member @1 :Member;
+  leader @2 :Text;
+}
+
+struct Departure {
+  name @0 :Text;
+  agentBoot @1 :UInt64;
+}
+
+struct ApplyDocument {
+  documentVersion @0 :UInt64;
+  document @1 :Data;
+  fleet @2 :Fleet;
+}
+
+struct PromptPart {
+  id @0 :Text;
+  tokens @1 :UInt32;
+}
+
+struct PlanRequest {
+  id @0 :Text;
+  route @1 :Text;
+  pool @2 :Text;
+  account @3 :Text;
+  priority @4 :UInt32;
+  untilObjective @5 :Int64;
+  untilDeadline @6 :Int64;
+  pieceCounts @7 :List(UInt32);
+  pieceKey @8 :Text;
+  promptTokens @9 :UInt32;
+  outputTokens @10 :UInt32;
+  parts @11 :List(PromptPart);
+  round @12 :UInt32;
+  avoid @13 :List(Text);
+  remake @14 :Bool;
+}
+
+struct PlanGrant {
+  id @0 :Text;
+  round @1 :UInt32;
+  upstream @2 :Text;
+  agentBoot @3 :UInt64;
+  inputs @4 :List(Text);
+}
+
+struct PlanRefusal {
+  id @0 :Text;
+  round @1 :UInt32;
+  retryAfter @2 :Int64;
+  reason @3 :Text;
+}
+
+struct PlanStarted {
+  id @0 :Text;
+  round @1 :UInt32;
+}
+
+struct PlanEnd {
+  id @0 :Text;
+  round @1 :UInt32;
+  served @2 :Bool;
+  detail @3 :Text;
 }
 
 struct Command {
@@ -456,6 +588,7 @@
     reportCrash @12 :ReportCrash;
     clearSuspect @13 :ClearSuspect;
     changeMembers @14 :ChangeMembers;
+    applyDocument @15 :ApplyDocument;
   }
 }
 
@@ -479,5 +612,10 @@
     installSnapshot @15 :InstallSnapshot;
     timeoutNow @16 :TimeoutNow;
     join @17 :Join;
+    planRequest @18 :PlanRequest;
+    planGrant @19 :PlanGrant;
+    planRefusal @20 :PlanRefusal;
+    planStarted @21 :PlanStarted;
+    planEnd @22 :PlanEnd;
   }
 }
