Leave a control process that no longer leads at once

An answer of the presumed leader that names no leader ends the guess; without a leader a node asks each control process in turn every 250 ms.

Test failed first: process_that_no_longer_leads_is_left_at_once.

--- a/packages/core/include/chervilspring/fleet.hpp
+++ b/packages/core/include/chervilspring/fleet.hpp
@@ -68,8 +68,7 @@
     std::optional<PieceCapacity> pieces_;
     std::optional<EngineCapacity> engine_;
 };
-BOOST_DESCRIBE_STRUCT(Pool, (),
-                      (name_, selector_, labels_, connectionLimit_, pieces_, engine_))
+BOOST_DESCRIBE_STRUCT(Pool, (), (name_, selector_, labels_, connectionLimit_, pieces_, engine_))
 
 /// @brief What may be repeated on a route.
 enum class RouteKind : std::uint16_t {
--- a/packages/core/include/chervilspring/messages.hpp
+++ b/packages/core/include/chervilspring/messages.hpp
@@ -492,8 +492,7 @@
 };
 BOOST_DESCRIBE_STRUCT(Snapshot, (),
                       (cluster_, lastIndex_, lastTerm_, time_, members_, view_, records_,
-                       operationIds_, operationOutcomes_, documentVersion_, document_,
-                       departures_))
+                       operationIds_, operationOutcomes_, documentVersion_, document_, departures_))
 
 /// @brief Brings a member that is too far behind up to date.
 struct InstallSnapshot
@@ -595,10 +594,10 @@
 BOOST_DESCRIBE_STRUCT(PlanEnd, (), (id_, round_, served_, detail_))
 
 /// @brief Everything that can stand in a frame. New alternatives go at the end.
-using Message =
-    std::variant<Dispatch, Inquire, Cancel, AttemptResult, StreamChunk, AttemptState, Ping, Propose,
-                 ProposeReply, Heartbeat, HeartbeatReply, VoteRequest, VoteReply, AppendRequest,
-                 AppendReply, InstallSnapshot, TimeoutNow, Join, PlanRequest, PlanGrant, PlanRefusal, PlanStarted, PlanEnd>;
+using Message = std::variant<Dispatch, Inquire, Cancel, AttemptResult, StreamChunk, AttemptState,
+                             Ping, Propose, ProposeReply, Heartbeat, HeartbeatReply, VoteRequest,
+                             VoteReply, AppendRequest, AppendReply, InstallSnapshot, TimeoutNow,
+                             Join, PlanRequest, PlanGrant, PlanRefusal, PlanStarted, PlanEnd>;
 
 /// @brief Helper to build a visitor from lambdas.
 template<typename... Ts> struct Overloaded : Ts...
--- a/packages/decision/include/chervilspring/detail/direct/direct.hpp
+++ b/packages/decision/include/chervilspring/detail/direct/direct.hpp
@@ -1,8 +1,8 @@
 /// @file
 /// @brief Reducer of an entry for routes: requests that go straight to upstreams, without an agent.
 ///
-/// The entry answers for at most once: an unsafe request goes to a second upstream only if the first
-/// one said that it did not run it, or nothing was sent to it.
+/// The entry answers for at most once: an unsafe request goes to a second upstream only if the
+/// first one said that it did not run it, or nothing was sent to it.
 #pragma once
 
 #include "chervilspring/detail/direct/retry_budget.hpp"
@@ -121,8 +121,8 @@
     std::string outcome_;
 };
 
-using DirectEffect = std::variant<StartRun, StopRun, DeliverHeld, RefuseCall, AbortCall, DirectEnded,
-                                  SendToPeer, DecisionLine>;
+using DirectEffect = std::variant<StartRun, StopRun, DeliverHeld, RefuseCall, AbortCall,
+                                  DirectEnded, SendToPeer, DecisionLine>;
 using DirectEffects = std::vector<DirectEffect>;
 
 /// @brief Settings of the reducer.
--- a/packages/decision/include/chervilspring/detail/scheduler/scheduler.hpp
+++ b/packages/decision/include/chervilspring/detail/scheduler/scheduler.hpp
@@ -2,8 +2,8 @@
 /// @brief Reducer of a scheduler: has the stages of requests done and chooses their model engines.
 ///
 /// A scheduler sees the requests of all entries, so that it can fill calls to stage upstreams with
-/// pieces of many requests. It keeps nothing on disk: an entry that loses its scheduler asks another
-/// one, and pieces are made again.
+/// pieces of many requests. It keeps nothing on disk: an entry that loses its scheduler asks
+/// another one, and pieces are made again.
 #pragma once
 
 #include "chervilspring/detail/scheduler/engine_plan.hpp"
--- a/packages/decision/src/control/control.cpp
+++ b/packages/decision/src/control/control.cpp
@@ -216,11 +216,10 @@
         answer(state, waiter, Outcome{OutcomeKind::Accepted, 0, {}, std::nullopt}, effects);
         return;
     }
-    effects.push_back(DecisionLine{"decision=membership upstream=" + upstream.name_
-                                   + " boot=" + std::to_string(upstream.agentBoot_)
-                                   + " sequence=" + std::to_string(upstream.sequence_) + " phase="
-                                   + boost::describe::enum_to_string(upstream.phase_, "?")
-                                   + " reason=announced"});
+    effects.push_back(DecisionLine{
+        "decision=membership upstream=" + upstream.name_ + " boot="
+        + std::to_string(upstream.agentBoot_) + " sequence=" + std::to_string(upstream.sequence_)
+        + " phase=" + boost::describe::enum_to_string(upstream.phase_, "?") + " reason=announced"});
     propose(state, now, wall, AnnounceUpstream{upstream}, waiter, effects);
 }
 
@@ -387,33 +386,30 @@
     tick(state.consensus_, now, wall, output);
     carryOut(state, now, wall, std::move(output), effects);
     sweepLeases(state, now, wall, effects);
-    std::visit(Overloaded{
-                   [&](const PeerMessage &e) { onPeerMessage(state, now, wall, e, effects); },
-                   [](const PeerLost &) {},
-                   [&](const BatchSynced &e) {
-                       ConsensusOutput more;
-                       synced(state.consensus_, now, e.sequence_, more);
-                       carryOut(state, now, wall, std::move(more), effects);
-                   },
-                   [&](const LocalProposal &e) {
-                       propose(state, now, wall, e.command_, Waiter{0, "", e.token_}, effects);
-                   },
-                   [&](const LocalRead &e) {
-                       ConsensusOutput more;
-                       if (!startRead(state.consensus_, now, e.token_, more))
-                           effects.push_back(AnswerRead{e.token_, false, leaderName(state)});
-                       carryOut(state, now, wall, std::move(more), effects);
-                   },
-                   [](const Wake &) {},
-                   [&](const StopRequested &) { onStop(state, now, wall, effects); },
-                   [&](const LocalAnnouncement &e) {
-                       onLocalAnnouncement(state, now, wall, e, effects);
-                   },
-                   [&](const SeedsChanged &e) {
-                       state.consensus_.settings_.controlNames_ = e.names_;
-                   },
-               },
-               event);
+    std::visit(
+        Overloaded{
+            [&](const PeerMessage &e) { onPeerMessage(state, now, wall, e, effects); },
+            [](const PeerLost &) {},
+            [&](const BatchSynced &e) {
+                ConsensusOutput more;
+                synced(state.consensus_, now, e.sequence_, more);
+                carryOut(state, now, wall, std::move(more), effects);
+            },
+            [&](const LocalProposal &e) {
+                propose(state, now, wall, e.command_, Waiter{0, "", e.token_}, effects);
+            },
+            [&](const LocalRead &e) {
+                ConsensusOutput more;
+                if (!startRead(state.consensus_, now, e.token_, more))
+                    effects.push_back(AnswerRead{e.token_, false, leaderName(state)});
+                carryOut(state, now, wall, std::move(more), effects);
+            },
+            [](const Wake &) {},
+            [&](const StopRequested &) { onStop(state, now, wall, effects); },
+            [&](const LocalAnnouncement &e) { onLocalAnnouncement(state, now, wall, e, effects); },
+            [&](const SeedsChanged &e) { state.consensus_.settings_.controlNames_ = e.names_; },
+        },
+        event);
     checkStop(state, now, effects);
 }
 
--- a/packages/decision/src/control/fleet_state.cpp
+++ b/packages/decision/src/control/fleet_state.cpp
@@ -221,8 +221,7 @@
 
 Outcome applyCommand(FleetState &state, const LogEntry &entry, const ApplyDocument &command)
 {
-    if (const auto answer =
-            answerDocument(state, command.documentVersion_, command.document_))
+    if (const auto answer = answerDocument(state, command.documentVersion_, command.document_))
         return *answer;
     state.documentVersion_ = command.documentVersion_;
     state.document_ = command.document_;
--- a/packages/decision/src/direct/direct.cpp
+++ b/packages/decision/src/direct/direct.cpp
@@ -64,8 +64,8 @@
 {
     if (request.scheduler_.empty())
         return;
-    effects.push_back(SendToPeer{request.scheduler_,
-                                 PlanEnd{request.call_.id_, request.round_, served, detail}});
+    effects.push_back(
+        SendToPeer{request.scheduler_, PlanEnd{request.call_.id_, request.round_, served, detail}});
 }
 
 // Removes a request; its end has been decided.
@@ -75,10 +75,9 @@
     const auto found = state.requests_.find(token);
     const DirectRequest &request = found->second;
     addLine(effects, request, "end",
-            "outcome=" + outcome + " status=" + std::to_string(status)
-                + " route=" + request.route_->name_ + " pool=" + request.pool_
-                + " account=" + request.account_ + " upstream=" + request.upstream_
-                + " runs=" + std::to_string(request.maybeRan_)
+            "outcome=" + outcome + " status=" + std::to_string(status) + " route="
+                + request.route_->name_ + " pool=" + request.pool_ + " account=" + request.account_
+                + " upstream=" + request.upstream_ + " runs=" + std::to_string(request.maybeRan_)
                 + " total_ms=" + text(now - request.arrivedAt_)
                 + " view=" + std::to_string(request.table_->view_->version_));
     effects.push_back(DirectEnded{token, outcome});
@@ -234,8 +233,8 @@
 {
     effects.push_back(DecisionLine{"decision=end request=" + call.id_ + " outcome=" + reason
                                    + " status=" + std::to_string(status) + " host=" + call.host_
-                                   + " path=" + call.path_ + " view="
-                                   + std::to_string(state.table_->view_->version_)});
+                                   + " path=" + call.path_
+                                   + " view=" + std::to_string(state.table_->view_->version_)});
     effects.push_back(RefuseCall{call.token_, status, retryAfter, reason});
     effects.push_back(DirectEnded{call.token_, reason});
 }
@@ -295,9 +294,8 @@
             "upstream=" + request.upstream_ + " status=" + std::to_string(event.status_)
                 + " detail=" + event.detail_);
     const bool unsent = event.end_ == RunEnd::NotSent;
-    const bool again = unsent
-        ? request.attempt_ < maxRuns && request.endAt_ - now > leastForRepeat
-        : mayRepeat(state, now, request);
+    const bool again = unsent ? request.attempt_ < maxRuns && request.endAt_ - now > leastForRepeat
+                              : mayRepeat(state, now, request);
     if (again) {
         sendAgain(state, now, event.token_, remake, effects);
         return;
@@ -311,13 +309,11 @@
                  DirectEffects &effects)
 {
     ++request.maybeRan_;
-    request.lastEventId_ =
-        event.lastEventId_.empty() ? request.lastEventId_ : event.lastEventId_;
+    request.lastEventId_ = event.lastEventId_.empty() ? request.lastEventId_ : event.lastEventId_;
     addLine(effects, request, "run_failed",
             "upstream=" + request.upstream_ + " took_ms=" + text(now - request.startedAt_)
                 + " last_event=" + request.lastEventId_ + " detail=" + event.detail_);
-    const bool allowed =
-        repeatable(request) && request.maybeRan_ < request.route_->maxAttempts_;
+    const bool allowed = repeatable(request) && request.maybeRan_ < request.route_->maxAttempts_;
     if (allowed && mayRepeat(state, now, request)) {
         sendAgain(state, now, event.token_, true, effects);
         return;
@@ -386,8 +382,8 @@
         return;
     request->streamed_ = true;
     if (!request->scheduler_.empty())
-        effects.push_back(SendToPeer{request->scheduler_,
-                                     PlanStarted{request->call_.id_, request->round_}});
+        effects.push_back(
+            SendToPeer{request->scheduler_, PlanStarted{request->call_.id_, request->round_}});
 }
 
 // Stops whatever is under way for a request that is about to end.
@@ -492,8 +488,7 @@
         const std::uint64_t token = state.ends_.begin()->second;
         DirectRequest &request = state.requests_.at(token);
         stopWork(state, now, request, "timeout", effects);
-        const unsigned status =
-            request.maybeRan_ == 0 ? statusUnavailable : statusGatewayTimeout;
+        const unsigned status = request.maybeRan_ == 0 ? statusUnavailable : statusGatewayTimeout;
         refuse(state, now, token, status, nanoseconds(0), "timeout", effects);
     }
 }
--- a/packages/decision/src/direct/retry_budget.cpp
+++ b/packages/decision/src/direct/retry_budget.cpp
@@ -13,10 +13,11 @@
 {
     const nanoseconds slice = limit.window_ / static_cast<std::int64_t>(RepeatWindow::slices - 1);
     const std::int64_t number = now.time_since_epoch() / slice;
-    const std::int64_t steps = std::min<std::int64_t>(number - budget.newest_, RepeatWindow::slices);
+    const std::int64_t steps =
+        std::min<std::int64_t>(number - budget.newest_, RepeatWindow::slices);
     for (std::int64_t step = 0; step < steps; ++step) {
-        const auto index =
-            static_cast<std::size_t>((number - step) % static_cast<std::int64_t>(RepeatWindow::slices));
+        const auto index = static_cast<std::size_t>(
+            (number - step) % static_cast<std::int64_t>(RepeatWindow::slices));
         budget.requests_[index] = 0;
         budget.repeats_[index] = 0;
     }
--- a/packages/decision/src/node/node.cpp
+++ b/packages/decision/src/node/node.cpp
@@ -10,7 +10,7 @@
 
 constexpr nanoseconds heartbeatInterval = seconds(1);
 constexpr nanoseconds firstHeartbeats = milliseconds(100); // until view and share have come
-constexpr nanoseconds searchInterval = milliseconds(300); // while no control process answers
+constexpr nanoseconds searchInterval = milliseconds(250); // while no leader is known
 constexpr nanoseconds heartbeatPatience = milliseconds(1500);
 constexpr nanoseconds proposalResend = milliseconds(250);
 constexpr std::size_t maxControlNames = 16; // former members are kept as places to ask
@@ -56,9 +56,8 @@
 
 void publish(const NodeState &state, NodeEffects &effects)
 {
-    effects.push_back(ViewChanged{state.view_, state.asOf_, state.share_,
-                                  state.shareExpires_, state.leader_,
-                                  state.settings_.controlNames_});
+    effects.push_back(ViewChanged{state.view_, state.asOf_, state.share_, state.shareExpires_,
+                                  state.leader_, state.settings_.controlNames_});
 }
 
 void addControlNames(NodeState &state, const std::vector<std::string> &names)
@@ -69,7 +68,7 @@
     }
 }
 
-void onReply(NodeState &state, const std::string &peer, const HeartbeatReply &reply,
+void onReply(NodeState &state, Instant now, const std::string &peer, const HeartbeatReply &reply,
              NodeEffects &effects)
 {
     if (state.settings_.openMembership_ && !reply.members_.empty()) {
@@ -80,6 +79,10 @@
             seeds.resize(maxControlNames);
         addControlNames(state, seeds);
     }
+    if (reply.leader_.empty() && peer == state.leader_) {
+        state.leader_.clear(); // it no longer leads
+        state.heartbeatAt_ = now;
+    }
     setLeader(state, reply.leader_);
     if (reply.update_) {
         if (const ViewPointer newer = updateView(*state.view_, *reply.update_)) {
@@ -192,19 +195,20 @@
         return;
     const bool starting =
         state.asOf_ == Instant{} || (state.settings_.isEntry_ && state.share_ == 0);
-    state.heartbeatAt_ = now + (starting ? firstHeartbeats : heartbeatInterval);
     const auto sent = state.heartbeatSent_.find(state.leader_);
     if (sent != state.heartbeatSent_.end() && now - sent->second > heartbeatPatience) {
         state.heartbeatSent_.erase(sent);
         state.leader_.clear();
     }
+    const nanoseconds usual = state.leader_.empty() ? searchInterval : heartbeatInterval;
+    state.heartbeatAt_ = now + (starting ? firstHeartbeats : usual);
     sendHeartbeat(state, now, target(state), effects);
 }
 
 void onPeerMessage(NodeState &state, Instant now, const PeerMessage &event, NodeEffects &effects)
 {
     if (const auto *reply = std::get_if<HeartbeatReply>(&event.message_))
-        onReply(state, event.peer_, *reply, effects);
+        onReply(state, now, event.peer_, *reply, effects);
     else if (const auto *answered = std::get_if<ProposeReply>(&event.message_))
         onProposeReply(state, now, event.peer_, *answered, effects);
     else if (const auto *heartbeat = std::get_if<Heartbeat>(&event.message_))
--- a/packages/decision/src/scheduler/engine_plan.cpp
+++ b/packages/decision/src/scheduler/engine_plan.cpp
@@ -56,8 +56,7 @@
         if (!run.started_)
             queuedTokens += run.promptTokens_;
     }
-    cost.full_ =
-        engine.runs_.size() >= capacity.slots_ || heldTokens > capacity.cacheTokens_;
+    cost.full_ = engine.runs_.size() >= capacity.slots_ || heldTokens > capacity.cacheTokens_;
     for (const auto &[dataCenter, bytes] : inputs) {
         if (dataCenter != upstream.dataCenter_)
             cost.crossingBytes_ += bytes;
@@ -71,8 +70,8 @@
 
 void startRun(Engine &engine, const PlanRequest &request, const EngineCost &cost, Instant now)
 {
-    engine.runs_[request.id_] = EngineRun{
-        cost.unreadTokens_, request.promptTokens_ + request.outputTokens_, now, false};
+    engine.runs_[request.id_] =
+        EngineRun{cost.unreadTokens_, request.promptTokens_ + request.outputTokens_, now, false};
     for (const PromptPart &part : request.parts_)
         engine.parts_[part.id_] = now;
     forgetOldParts(engine, now);
--- a/packages/decision/src/scheduler/scheduler.cpp
+++ b/packages/decision/src/scheduler/scheduler.cpp
@@ -6,7 +6,8 @@
 
 namespace {
 
-constexpr nanoseconds sweepInterval = milliseconds(50); // for requests that can't be served any more
+constexpr nanoseconds sweepInterval =
+    milliseconds(50); // for requests that can't be served any more
 constexpr nanoseconds callSlack = milliseconds(500); // beyond the expected time of a call
 constexpr int callLimitFactor = 3; // times the expected time of a call
 constexpr nanoseconds busyPause = milliseconds(100); // before a full upstream is asked again
@@ -72,8 +73,8 @@
     for (std::size_t stage = 0; stage < job.stages_.size(); ++stage) {
         if (isFinal(job, stage) || !stageDone(job.stages_[stage]))
             continue;
-        const bool needed = std::any_of(
-            job.stages_.begin(), job.stages_.end(), [&](const StageWork &other) {
+        const bool needed =
+            std::any_of(job.stages_.begin(), job.stages_.end(), [&](const StageWork &other) {
                 return std::find(other.after_.begin(), other.after_.end(), stage)
                     != other.after_.end()
                     && !stageDone(other);
@@ -151,8 +152,8 @@
         if (cost.full_)
             continue;
         const auto &avoid = job.request_.avoid_;
-        const bool avoided = engine.avoidUntil_ > now
-            || std::find(avoid.begin(), avoid.end(), name) != avoid.end();
+        const bool avoided =
+            engine.avoidUntil_ > now || std::find(avoid.begin(), avoid.end(), name) != avoid.end();
         const bool better = !chosen || (chosenAvoided && !avoided)
             || (chosenAvoided == avoided && cost.total_ < chosenCost.total_);
         if (!better)
@@ -180,12 +181,11 @@
     addLine(effects, job,
             "grant upstream=" + upstream->name_ + " unread_tokens="
                 + std::to_string(cost.unreadTokens_) + " wait_ms=" + text(cost.wait_)
-                + " crossing_bytes=" + std::to_string(cost.crossingBytes_)
-                + " stages_ms=" + text(now - job.arrivedAt_)
-                + " view=" + std::to_string(state.view_->version_));
-    effects.push_back(SendToPeer{id.entry_, PlanGrant{job.request_.id_, job.request_.round_,
-                                                      upstream->name_, upstream->agentBoot_,
-                                                      finalHandles(job)}});
+                + " crossing_bytes=" + std::to_string(cost.crossingBytes_) + " stages_ms="
+                + text(now - job.arrivedAt_) + " view=" + std::to_string(state.view_->version_));
+    effects.push_back(SendToPeer{id.entry_,
+                                 PlanGrant{job.request_.id_, job.request_.round_, upstream->name_,
+                                           upstream->agentBoot_, finalHandles(job)}});
 }
 
 bool isIdle(const SchedulerState &state, const std::string &name, Instant now)
@@ -256,10 +256,9 @@
     }
     maker.call_ = start.call_;
     effects.push_back(DecisionLine{
-        "decision=stage_call call=" + std::to_string(start.call_) + " pool=" + pool
-        + " upstream=" + upstream.name_ + " pieces=" + std::to_string(pieces.size())
-        + " first_request=" + pieces.front().id_.job_.request_
-        + " expected_ms=" + text(call.expected_)});
+        "decision=stage_call call=" + std::to_string(start.call_) + " pool=" + pool + " upstream="
+        + upstream.name_ + " pieces=" + std::to_string(pieces.size()) + " first_request="
+        + pieces.front().id_.job_.request_ + " expected_ms=" + text(call.expected_)});
     state.calls_[start.call_] = std::move(call);
     effects.push_back(std::move(start));
 }
@@ -307,8 +306,8 @@
         const auto known = state.stageUpstreams_.find(name);
         const double slowness =
             known == state.stageUpstreams_.end() ? 1.0 : known->second.slowness_;
-        const double full = std::chrono::duration<double>(
-                                callTime(*capacity, capacity->batch_)).count();
+        const double full =
+            std::chrono::duration<double>(callTime(*capacity, capacity->batch_)).count();
         perSecond += capacity->batch_ / (full * slowness);
     }
     const auto pieces = static_cast<double>(backlog(state.jobs_, pool, priority));
@@ -474,8 +473,7 @@
         HeldResult{call.resultBytes_[index], now + lifetime};
 }
 
-void afterCall(SchedulerState &state, Instant now, const StageCall &call,
-               SchedulerEffects &effects)
+void afterCall(SchedulerState &state, Instant now, const StageCall &call, SchedulerEffects &effects)
 {
     std::set<JobId> touched;
     for (const PieceId &piece : call.pieces_)
@@ -487,9 +485,8 @@
         Job &job = found->second;
         const bool hopeless =
             std::any_of(job.stages_.begin(), job.stages_.end(), [](const StageWork &stage) {
-                return std::any_of(stage.pieces_.begin(), stage.pieces_.end(), [](const Piece &p) {
-                    return p.failures_ >= maxPieceFailures;
-                });
+                return std::any_of(stage.pieces_.begin(), stage.pieces_.end(),
+                                   [](const Piece &p) { return p.failures_ >= maxPieceFailures; });
             });
         if (hopeless) {
             refuse(state, id, noEngineRetry, "stage_failed", effects);
@@ -521,8 +518,8 @@
         upstream.slowness_ += slownessWeight * (ratio - upstream.slowness_);
     } else {
         effects.push_back(DecisionLine{
-            "decision=stage_call_failed call=" + std::to_string(event.call_) + " pool="
-            + call.pool_ + " upstream=" + call.upstream_ + " took_ms=" + text(took)
+            "decision=stage_call_failed call=" + std::to_string(event.call_) + " pool=" + call.pool_
+            + " upstream=" + call.upstream_ + " took_ms=" + text(took)
             + " end=" + std::to_string(static_cast<int>(event.end_)) + " detail=" + event.detail_});
     }
     if (event.end_ == StageCallEnd::Refused)
@@ -602,18 +599,17 @@
 void onPeerMessage(SchedulerState &state, Instant now, const PeerMessage &event,
                    SchedulerEffects &effects)
 {
-    std::visit(Overloaded{
-                   [&](const PlanRequest &m) {
-                       onPlanRequest(state, now, event.peer_, m, effects);
-                   },
-                   [&](const PlanStarted &m) { onPlanStarted(state, event.peer_, m, effects); },
-                   [&](const PlanEnd &m) {
-                       onPlanEnd(state, now, event.peer_, m, effects);
-                       dispatch(state, now, effects);
-                   },
-                   [](const auto &) {},
-               },
-               event.message_);
+    std::visit(
+        Overloaded{
+            [&](const PlanRequest &m) { onPlanRequest(state, now, event.peer_, m, effects); },
+            [&](const PlanStarted &m) { onPlanStarted(state, event.peer_, m, effects); },
+            [&](const PlanEnd &m) {
+                onPlanEnd(state, now, event.peer_, m, effects);
+                dispatch(state, now, effects);
+            },
+            [](const auto &) {},
+        },
+        event.message_);
 }
 
 } // namespace
--- a/packages/decision/tests/unit-node.cpp
+++ b/packages/decision/tests/unit-node.cpp
@@ -112,6 +112,30 @@
     BOOST_TEST(asked.size() == 3u);
 }
 
+// A leader that was cut off from the other control processes still answers nodes. A node that
+// stayed with it would miss what its successor has committed.
+BOOST_AUTO_TEST_CASE(process_that_no_longer_leads_is_left_at_once)
+{
+    Bench bench;
+    bench.handle(Wake{});
+    bench.handle(PeerMessage{"c2", Bench::reply(1, {})});
+    BOOST_REQUIRE(bench.state_.leader_ == "c2");
+    bench.state_.share_ = wholeShare;
+    bench.now_ += seconds(1);
+    bench.handle(Wake{});
+    HeartbeatReply deposed;
+    deposed.fresh_ = true;
+    deposed.age_ = seconds(1);
+    bench.handle(PeerMessage{"c2", deposed});
+    std::set<std::string> asked;
+    for (int i = 0; i < 10; ++i) {
+        bench.now_ += milliseconds(100);
+        for (const auto &[peer, heartbeat] : sent<Heartbeat>(bench.handle(Wake{})))
+            asked.insert(peer);
+    }
+    BOOST_TEST(asked.size() == 3u);
+}
+
 BOOST_AUTO_TEST_CASE(proposal_goes_on_to_the_new_leader_and_is_answered_once)
 {
     Bench bench;
--- a/packages/server/include/chervilspring/detail/net/direct_protocol.hpp
+++ b/packages/server/include/chervilspring/detail/net/direct_protocol.hpp
@@ -1,5 +1,6 @@
 /// @file
-/// @brief What an adapter provides so that routes, stages and operators speak a platform's protocol.
+/// @brief What an adapter provides so that routes, stages and operators speak a platform's
+/// protocol.
 ///
 /// The functions translate between messages on the wire and the product's types; decisions stay in
 /// the reducers.
--- a/packages/server/include/chervilspring/detail/net/direct_server.hpp
+++ b/packages/server/include/chervilspring/detail/net/direct_server.hpp
@@ -114,9 +114,9 @@
     boost::asio::awaitable<void> serve(std::shared_ptr<CallerConnection> connection);
     boost::asio::awaitable<bool> serveOne(const std::shared_ptr<CallerConnection> &connection,
                                           boost::beast::flat_buffer &buffer);
-    boost::asio::awaitable<bool>
-    readRequest(const std::shared_ptr<CallerConnection> &connection,
-                boost::beast::flat_buffer &buffer, HttpRequest &request);
+    boost::asio::awaitable<bool> readRequest(const std::shared_ptr<CallerConnection> &connection,
+                                             boost::beast::flat_buffer &buffer,
+                                             HttpRequest &request);
     void watch(const std::shared_ptr<CallerConnection> &connection);
     void onReadable(CallerConnection &connection);
 
--- a/packages/server/src/control_thread.cpp
+++ b/packages/server/src/control_thread.cpp
@@ -117,7 +117,9 @@
         metricsServer_ = std::make_unique<HttpServer>(
             context_, HttpLimits{}, [this](const HttpExchangePointer &exchange) {
                 setMetrics();
-                exchange->answer(HttpAnswer{200, "text/plain; version=0.0.4", {},
+                exchange->answer(HttpAnswer{200,
+                                            "text/plain; version=0.0.4",
+                                            {},
                                             metrics_.text() + trafficMetrics_.text()});
             });
         metricsServer_->listen(settings_.address_, settings_.metricsPort_);
--- a/packages/server/src/direct_server.cpp
+++ b/packages/server/src/direct_server.cpp
@@ -231,9 +231,8 @@
     connection->socket_.shutdown(tcp::socket::shutdown_send, ignored);
 }
 
-asio::awaitable<bool>
-DirectServer::readRequest(const std::shared_ptr<CallerConnection> &connection,
-                          beast::flat_buffer &buffer, HttpRequest &request)
+asio::awaitable<bool> DirectServer::readRequest(const std::shared_ptr<CallerConnection> &connection,
+                                                beast::flat_buffer &buffer, HttpRequest &request)
 {
     http::request_parser<http::string_body> parser;
     parser.header_limit(limits_.headerBytes_);
@@ -270,8 +269,9 @@
              && error != http::error::end_of_stream && error != http::error::partial_message)
         status = statusBadRequest;
     if (status != 0) {
-        writeLog(LogLevel::Info, "decision=end outcome=unreadable status="
-                     + std::to_string(status) + " detail=" + error.message());
+        writeLog(LogLevel::Info,
+                 "decision=end outcome=unreadable status=" + std::to_string(status)
+                     + " detail=" + error.message());
         const std::string text = refusalText(status, nanoseconds(0), "unreadable", false);
         co_await asio::async_write(connection->socket_, asio::buffer(text),
                                    asio::redirect_error(use_awaitable, error));
@@ -313,8 +313,8 @@
     if (!complete)
         co_return false;
     const bool keepAlive = request.keep_alive() && !closing_;
-    auto exchange = std::make_shared<DirectExchange>(nextToken_++, connection, std::move(request),
-                                                     keepAlive);
+    auto exchange =
+        std::make_shared<DirectExchange>(nextToken_++, connection, std::move(request), keepAlive);
     ++busy_;
     connection->current_ = exchange;
     handlers_.request_(exchange);
--- a/packages/server/src/direct_thread.cpp
+++ b/packages/server/src/direct_thread.cpp
@@ -47,18 +47,17 @@
       network_(context_, PeerIdentity{settings.name_, randomId()}, settings.secret_,
                peerHandlers([this](const DirectEvent &event) { handle(event); })),
       server_(context_,
-              DirectHandlers{
-                  [this](const DirectExchangePointer &exchange) { onRequest(exchange); },
-                  [this](std::uint64_t token) { handle(CallerGone{token}); }}),
+              DirectHandlers{[this](const DirectExchangePointer &exchange) { onRequest(exchange); },
+                             [this](std::uint64_t token) { handle(CallerGone{token}); }}),
       probes_(context_, HttpLimits{},
               [this](const HttpExchangePointer &exchange) { onProbe(exchange); }),
-      metricsServer_(context_, HttpLimits{},
-                     [this](const HttpExchangePointer &exchange) {
-                         metrics_.set("connections_opened", static_cast<double>(client_.opened()));
-                         metrics_.set("callers", static_cast<double>(server_.open()));
-                         exchange->answer(
-                             HttpAnswer{200, "text/plain; version=0.0.4", {}, metrics_.text()});
-                     }),
+      metricsServer_(
+          context_, HttpLimits{},
+          [this](const HttpExchangePointer &exchange) {
+              metrics_.set("connections_opened", static_cast<double>(client_.opened()));
+              metrics_.set("callers", static_cast<double>(server_.open()));
+              exchange->answer(HttpAnswer{200, "text/plain; version=0.0.4", {}, metrics_.text()});
+          }),
       client_(context_, protocol,
               RunHandlers{[this](const RunStarted &event) { handle(event); },
                           [this](const RunEnded &event) { handle(event); }}),
@@ -187,8 +186,8 @@
             return {};
         },
         [&](const Error &error) {
-            writeLog(LogLevel::Info, "decision=end outcome=malformed status=400 detail="
-                         + toString(error));
+            writeLog(LogLevel::Info,
+                     "decision=end outcome=malformed status=400 detail=" + toString(error));
             noteEnd("malformed", Instant{});
             exchange->refuse(statusBadRequest, nanoseconds(0), "malformed");
         });
@@ -226,8 +225,8 @@
     const bool over = idle && passed >= acceptAfterStop;
     if (over || passed >= grace_ - endBeforeGrace) {
         writeLog(LogLevel::Info,
-                 "drained unfinished=" + std::to_string(exchanges_.size()) + " took_ms="
-                     + std::to_string(passed / milliseconds(1)));
+                 "drained unfinished=" + std::to_string(exchanges_.size())
+                     + " took_ms=" + std::to_string(passed / milliseconds(1)));
         if (stopped_)
             std::exchange(stopped_, nullptr)();
         return;
--- a/packages/server/src/node_thread.cpp
+++ b/packages/server/src/node_thread.cpp
@@ -47,8 +47,8 @@
                             },
                             [this](const std::string &peer) { handle(PeerLost{peer}); },
                             {}}),
-      timer_(context_), published_(std::make_shared<const ViewChanged>(
-                            ViewChanged{std::make_shared<const View>()}))
+      timer_(context_),
+      published_(std::make_shared<const ViewChanged>(ViewChanged{std::make_shared<const View>()}))
 {
     for (const ControlAddress &control : settings.control_)
         network_.setAddress(control.name_, PeerAddress{control.address_, control.port_});
--- a/packages/server/src/run_client.cpp
+++ b/packages/server/src/run_client.cpp
@@ -41,12 +41,11 @@
 bool isConnectionHeader(std::string_view name)
 {
     static constexpr std::string_view names[] = {
-        "Connection",          "Keep-Alive", "Proxy-Connection", "Transfer-Encoding",
-        "Proxy-Authorization", "TE",         "Trailer",          "Upgrade",
+        "Connection",          "Keep-Alive", "Proxy-Connection",  "Transfer-Encoding",
+        "Proxy-Authorization", "TE",         "Trailer",           "Upgrade",
         "Content-Length",      "Expect",     "Proxy-Authenticate"};
-    return std::any_of(std::begin(names), std::end(names), [&](std::string_view known) {
-        return beast::iequals(known, name);
-    });
+    return std::any_of(std::begin(names), std::end(names),
+                       [&](std::string_view known) { return beast::iequals(known, name); });
 }
 
 template<typename Fields> bool isNamedInConnection(const Fields &fields, std::string_view name)
@@ -83,8 +82,8 @@
 
 std::string answerHead(const http::response_header<> &head)
 {
-    std::string text = "HTTP/1.1 " + std::to_string(head.result_int()) + " "
-        + std::string(head.reason()) + "\r\n";
+    std::string text =
+        "HTTP/1.1 " + std::to_string(head.result_int()) + " " + std::string(head.reason()) + "\r\n";
     for (const auto &field : head) {
         const std::string_view name = field.name_string();
         if (isConnectionHeader(name) || isNamedInConnection(head, name))
@@ -214,8 +213,8 @@
     if (!headRead)
         co_return end;
     const std::string_view type = run->parser_->get()[http::field::content_type];
-    const bool streamed = run->order_.streaming_ && type.starts_with(eventStream)
-        && end.status_ == statusOk;
+    const bool streamed =
+        run->order_.streaming_ && type.starts_with(eventStream) && end.status_ == statusOk;
     if (streamed)
         co_await passStream(run, end);
     else
@@ -289,10 +288,9 @@
     run->written_ = false;
     const std::array<asio::const_buffer, 2> buffers = {
         asio::buffer(run->head_), asio::buffer(run->exchange_->request().body())};
-    asio::async_write(run->connection_->stream_, buffers,
-                      [run](boost::system::error_code error, std::size_t) {
-                          run->written_ = !error;
-                      });
+    asio::async_write(
+        run->connection_->stream_, buffers,
+        [run](boost::system::error_code error, std::size_t) { run->written_ = !error; });
 }
 
 asio::awaitable<bool> RunClient::exchangeHeads(RunPointer run, RunEnded &end, bool &unanswered)
--- a/packages/server/src/run_process.cpp
+++ b/packages/server/src/run_process.cpp
@@ -69,7 +69,8 @@
         handleErrors(
             [&]() -> leaf::result<void> {
                 BOOST_LEAF_AUTO(settings, parseSettings(content_, file_));
-                writeLog(LogLevel::Info, std::string("reloaded reason=") + reason
+                writeLog(LogLevel::Info,
+                         std::string("reloaded reason=") + reason
                              + " seeds=" + std::to_string(settings.control_.size()));
                 apply_(settings);
                 return {};
@@ -243,7 +244,8 @@
                      "storage opened entries=" + std::to_string(storage.second.entries_.size())
                          + " cut_bytes=" + std::to_string(storage.second.cutBytes_));
             control = std::make_unique<ControlThread>(
-                settings, std::move(storage.first), storage.second, [](const Error &error) {
+                settings, std::move(storage.first), storage.second,
+                [](const Error &error) {
                     writeLog(LogLevel::Error, toString(error));
                     std::_Exit(exitStorage);
                 },
