Pause upstreams without room, make lost results again at once

Results of crashed makers were noticed only when the next stage found them gone.

An upstream without room pauses 150 ms and counts for less room; only errors count against a piece; results of an upstream that is unreachable or gone wait again at once. Ruled out: results that are not freed (no failed free in the log).

--- a/packages/decision/include/chervilspring/detail/scheduler/piece_plan.hpp
+++ b/packages/decision/include/chervilspring/detail/scheduler/piece_plan.hpp
@@ -37,7 +37,7 @@
     PieceState state_ = PieceState::Waiting;
     std::string handle_; ///< of its result
     std::string upstream_; ///< that made it
-    std::uint32_t failures_ = 0;
+    std::uint32_t failures_ = 0; ///< after which it may be the piece that is at fault
 };
 
 /// @brief A stage of one request.
@@ -77,6 +77,8 @@
     std::uint32_t failures_ = 0; ///< in a row
     double slowness_ = 1.0; ///< moving mean of measured over expected call time
     std::uint64_t reservedBytes_ = 0; ///< for the call under way
+    Instant fullUntil_{}; ///< it had no room for a result
+    double usableRoom_ = 1.0; ///< share of its room that this scheduler may count on
     std::map<std::string, HeldResult> held_; ///< by handle
 };
 
@@ -93,7 +95,7 @@
 };
 
 /// @brief Why an item has no result.
-enum class ItemFailure { None, Late, InputGone, NoRoom, Error };
+enum class ItemFailure { None, Late, InputGone, NoRoom, NotSent, Error };
 
 /// @brief What became of an item.
 struct StageItemResult
@@ -160,6 +162,16 @@
 /// @brief Bytes that a stage upstream has free for further results.
 std::uint64_t freeRoom(const StageUpstream &upstream, const PieceCapacity &capacity, Instant now);
 
+/// @brief Notes that an upstream had no room: others use it too, or results are larger than said.
+void noteNoRoom(StageUpstream &upstream, Instant now);
+
+/// @brief Notes that an upstream had room for everything it was sent.
+void noteRoom(StageUpstream &upstream);
+
+/// @brief Has results made again that went with their upstream.
+/// @return pieces that wait again
+std::size_t loseResults(Job &job, const std::string &upstream);
+
 /// @brief Pieces that wait or run at a pool.
 /// @param priority only those that go before or with this one count
 std::size_t backlog(const std::map<JobId, Job> &jobs, const std::string &pool,
--- a/packages/decision/src/scheduler/piece_plan.cpp
+++ b/packages/decision/src/scheduler/piece_plan.cpp
@@ -7,6 +7,11 @@
 
 namespace {
 
+constexpr nanoseconds fullPause = milliseconds(150); // less than a call: results go meanwhile
+constexpr double roomDecrease = 0.9; // multiplicative, as for congestion windows
+constexpr double roomIncrease = 0.005; // for each call that found room
+constexpr double leastUsableRoom = 0.5;
+
 // What a lone call of this stage takes, with all pieces that the request has there.
 nanoseconds stageTime(const StageWork &stage, const Fleet &fleet)
 {
@@ -134,12 +139,43 @@
 
 std::uint64_t freeRoom(const StageUpstream &upstream, const PieceCapacity &capacity, Instant now)
 {
+    if (upstream.fullUntil_ > now)
+        return 0;
     std::uint64_t used = upstream.reservedBytes_;
     for (const auto &[handle, result] : upstream.held_) {
         if (result.expiresAt_ > now)
             used += result.bytes_;
     }
-    return capacity.resultBytes_ > used ? capacity.resultBytes_ - used : 0;
+    const auto usable = static_cast<std::uint64_t>(static_cast<double>(capacity.resultBytes_)
+                                                   * upstream.usableRoom_);
+    return usable > used ? usable - used : 0;
+}
+
+void noteNoRoom(StageUpstream &upstream, Instant now)
+{
+    upstream.fullUntil_ = now + fullPause;
+    upstream.usableRoom_ = std::max(leastUsableRoom, upstream.usableRoom_ * roomDecrease);
+}
+
+void noteRoom(StageUpstream &upstream)
+{
+    upstream.usableRoom_ = std::min(1.0, upstream.usableRoom_ + roomIncrease);
+}
+
+std::size_t loseResults(Job &job, const std::string &upstream)
+{
+    std::size_t lost = 0;
+    for (StageWork &stage : job.stages_) {
+        if (stage.freed_ || job.granted_)
+            continue;
+        for (Piece &piece : stage.pieces_) {
+            if (piece.state_ != PieceState::Done || piece.upstream_ != upstream)
+                continue;
+            piece = Piece{PieceState::Waiting, {}, {}, piece.failures_};
+            ++lost;
+        }
+    }
+    return lost;
 }
 
 std::size_t backlog(const std::map<JobId, Job> &jobs, const std::string &pool,
--- a/packages/decision/src/scheduler/scheduler.cpp
+++ b/packages/decision/src/scheduler/scheduler.cpp
@@ -13,7 +13,7 @@
 constexpr nanoseconds busyPause = milliseconds(100); // before a full upstream is asked again
 constexpr nanoseconds firstAvoidance = milliseconds(300); // after a failed call
 constexpr std::uint32_t longestAvoidance = 4; // doublings
-constexpr std::uint32_t maxPieceFailures = 5; // of one piece, then the request is refused
+constexpr std::uint32_t maxPieceFailures = 3; // of one piece, then the request is refused
 constexpr double slownessWeight = 0.3; // of the newest call in the moving mean
 constexpr nanoseconds shortestRetry = milliseconds(100);
 constexpr nanoseconds noEngineRetry = milliseconds(500); // while no engine is known
@@ -35,6 +35,25 @@
     return found && found->pieces_ ? &*found->pieces_ : nullptr;
 }
 
+const char *failureText(ItemFailure failure)
+{
+    switch (failure) {
+    case ItemFailure::None:
+        return "none";
+    case ItemFailure::Late:
+        return "late";
+    case ItemFailure::InputGone:
+        return "input_gone";
+    case ItemFailure::NoRoom:
+        return "no_room";
+    case ItemFailure::NotSent:
+        return "not_sent";
+    case ItemFailure::Error:
+        return "error";
+    }
+    return "?";
+}
+
 void addLine(SchedulerEffects &effects, const Job &job, const std::string &what)
 {
     effects.push_back(DecisionLine{"decision=" + what + " request=" + job.request_.id_
@@ -436,7 +455,8 @@
 {
     Piece &item = job.stages_[stage].pieces_[piece];
     item.state_ = PieceState::Waiting;
-    ++item.failures_;
+    if (failure == ItemFailure::Error)
+        ++item.failures_;
     if (failure != ItemFailure::InputGone)
         return;
     for (const std::uint32_t before : job.stages_[stage].after_)
@@ -455,6 +475,15 @@
     const bool wanted = piece && piece->state_ == PieceState::Running;
     const Upstream *upstream = findUpstream(state, call.upstream_);
     if (result.failure_ != ItemFailure::None) {
+        const PieceCapacity *capacity = piecesOf(state, call.pool_);
+        effects.push_back(DecisionLine{
+            "decision=piece_failed request=" + id.job_.request_ + " stage="
+            + std::to_string(id.stage_) + " piece=" + std::to_string(id.piece_) + " upstream="
+            + call.upstream_ + " reason=" + failureText(result.failure_) + " room_bytes="
+            + std::to_string(
+                capacity ? freeRoom(state.stageUpstreams_[call.upstream_], *capacity, now) : 0)
+            + " held=" + std::to_string(state.stageUpstreams_[call.upstream_].held_.size())
+            + " wanted=" + (wanted ? "true" : "false")});
         if (wanted)
             onItemFailed(found->second, id.stage_, id.piece_, result.failure_);
         return;
@@ -497,6 +526,19 @@
     }
 }
 
+// The results of an upstream that is gone have to be made again elsewhere.
+void loseResultsOf(SchedulerState &state, const std::string &upstream, const std::string &reason,
+                   SchedulerEffects &effects)
+{
+    std::size_t lost = 0;
+    for (auto &[id, job] : state.jobs_)
+        lost += loseResults(job, upstream);
+    state.stageUpstreams_[upstream].held_.clear();
+    if (lost > 0)
+        effects.push_back(DecisionLine{"decision=results_lost upstream=" + upstream + " pieces="
+                                       + std::to_string(lost) + " reason=" + reason});
+}
+
 void onCallEnded(SchedulerState &state, Instant now, const StageCallEnded &event,
                  SchedulerEffects &effects)
 {
@@ -526,19 +568,32 @@
         upstream.avoidUntil_ = now + busyPause;
     else if (!done)
         avoid(upstream, now);
-    for (std::size_t i = 0; i < call.pieces_.size(); ++i) {
-        StageItemResult result{{}, ItemFailure::Error};
-        if (done)
-            result = event.items_[i];
-        onItemDone(state, now, call, i, result, effects);
-    }
+    if (event.end_ == StageCallEnd::Unreachable)
+        loseResultsOf(state, call.upstream_, "unreachable", effects);
+    const bool unsent =
+        event.end_ == StageCallEnd::Refused || event.end_ == StageCallEnd::Unreachable;
+    const ItemFailure whole = unsent ? ItemFailure::NotSent : ItemFailure::Error;
+    for (std::size_t i = 0; i < call.pieces_.size(); ++i)
+        onItemDone(state, now, call, i, done ? event.items_[i] : StageItemResult{{}, whole},
+                   effects);
+    const bool full = std::any_of(
+        event.items_.begin(), event.items_.end(),
+        [](const StageItemResult &item) { return item.failure_ == ItemFailure::NoRoom; });
+    if (full)
+        noteNoRoom(state.stageUpstreams_[call.upstream_], now);
+    else if (done)
+        noteRoom(state.stageUpstreams_[call.upstream_]);
     afterCall(state, now, call, effects);
     dispatch(state, now, effects);
 }
 
-void takeView(SchedulerState &state, const ViewPointer &view)
+void takeView(SchedulerState &state, const ViewPointer &view, SchedulerEffects &effects)
 {
-    state.view_ = view;
+    const ViewPointer before = std::exchange(state.view_, view);
+    for (const Upstream &upstream : before->upstreams_) {
+        if (!findUpstream(state, upstream.name_))
+            loseResultsOf(state, upstream.name_, "gone", effects);
+    }
     state.upstreamsByPool_.clear();
     for (const auto &[pool, upstreams] : poolMembers(*view)) {
         auto &names = state.upstreamsByPool_[pool];
@@ -628,7 +683,7 @@
                    [&](const PeerLost &e) { onPeerLost(state, e.peer_, effects); },
                    [&](const StageCallEnded &e) { onCallEnded(state, now, e, effects); },
                    [&](const SchedulerView &e) {
-                       takeView(state, e.view_);
+                       takeView(state, e.view_, effects);
                        dispatch(state, now, effects);
                    },
                    [](const Wake &) {},
