Keep a request's pieces in one call; admit by what the load leaves; prefer near inputs

Load: bursts of requests whose stages share pools.

A call takes a request's pieces whole where it can; a request that its load would make late is refused at arrival, counting only what goes before it; ready pieces are weighed by where their inputs lie.

--- a/packages/decision/include/chervilspring/detail/scheduler/piece_plan.hpp
+++ b/packages/decision/include/chervilspring/detail/scheduler/piece_plan.hpp
@@ -146,18 +146,39 @@
 struct ReadyPiece
 {
     PieceId id_;
-    bool late_ = false; ///< can't meet its objective any more
+    bool late_ = false; ///< of a request that can't meet its objective and has nothing done yet
     std::uint32_t priority_ = 0;
     Instant startBy_{}; ///< latest start that meets the objective, or the deadline if late
     std::uint64_t resultBytes_ = 0;
+    std::map<std::string, std::uint64_t> inputBytes_; ///< by data centre
 };
 
-/// @brief Order in which ready pieces are taken.
-bool goesBefore(const ReadyPiece &left, const ReadyPiece &right);
+/// @brief Order in which an upstream takes ready pieces.
+///
+/// A request that has begun holds room at its makers, so it goes on before others begin. Inputs that
+/// would have to come from another data centre count as if the piece were less urgent.
+/// @param dataCenter of the upstream
+bool goesBefore(const ReadyPiece &left, const ReadyPiece &right, const std::string &dataCenter);
 
-/// @brief Ready pieces of a pool in the order in which they are taken.
+/// @brief Ready pieces of a pool, in no particular order.
 std::vector<ReadyPiece> readyPieces(const std::map<JobId, Job> &jobs, const std::string &pool,
-                                    const Fleet &fleet, Instant now);
+                                    const View &view, Instant now);
+
+/// @brief Takes the pieces of the next call out of the ready ones.
+///
+/// The most urgent request goes first. Of the others only those are taken whose pieces all fit: a
+/// request that is split over calls holds room for its first results until the last one is made.
+/// @param ready sorted by goesBefore(); what is taken is removed
+/// @param batch most pieces of a call
+/// @param room bytes that the upstream has for results
+std::vector<ReadyPiece> takeForCall(std::vector<ReadyPiece> &ready, std::size_t batch,
+                                    std::uint64_t room);
+
+/// @brief Whether any piece of a request is being made or done.
+bool hasBegun(const Job &job);
+
+/// @brief Whether a request can still meet its objective if nothing keeps it waiting.
+bool canBeOnTime(const Job &job, const Fleet &fleet, Instant now);
 
 /// @brief Bytes that a stage upstream has free for further results.
 std::uint64_t freeRoom(const StageUpstream &upstream, const PieceCapacity &capacity, Instant now);
@@ -172,9 +193,14 @@
 /// @return pieces that wait again
 std::size_t loseResults(Job &job, const std::string &upstream);
 
-/// @brief Pieces that wait or run at a pool.
-/// @param priority only those that go before or with this one count
-std::size_t backlog(const std::map<JobId, Job> &jobs, const std::string &pool,
-                    std::uint32_t priority);
+/// @brief Pieces that will be made at a pool before those of a new request.
+/// @param job the new request, whose own pieces don't count
+std::size_t backlogBefore(const std::map<JobId, Job> &jobs, const std::string &pool,
+                          const Job &job, const Fleet &fleet, Instant now);
+
+/// @brief Time in which a request's stages will be done, given how long its pools are taken.
+/// @param waits by pool, from now on
+nanoseconds finishTime(const Job &job, const Fleet &fleet,
+                       const std::map<std::string, nanoseconds> &waits);
 
 } // namespace chervilspring
--- a/packages/decision/src/scheduler/piece_plan.cpp
+++ b/packages/decision/src/scheduler/piece_plan.cpp
@@ -12,6 +12,25 @@
 constexpr double roomIncrease = 0.005; // for each call that found room
 constexpr double leastUsableRoom = 0.5;
 
+constexpr nanoseconds costOfCrossing = milliseconds(400); // per MB: links are shared and priced
+constexpr double bytesPerMb = 1e6;
+
+// Bytes of a stage's inputs by the data centre of their makers. Each piece of a stage reads all of
+// them.
+std::map<std::string, std::uint64_t> inputBytes(const Job &job, std::size_t stage,
+                                                const View &view)
+{
+    std::map<std::string, std::uint64_t> bytes;
+    for (const std::uint32_t before : job.stages_[stage].after_) {
+        for (const Piece &piece : job.stages_[before].pieces_) {
+            const Upstream *maker = findByName(view.upstreams_, piece.upstream_);
+            if (maker)
+                bytes[maker->dataCenter_] += job.stages_[before].resultBytes_;
+        }
+    }
+    return bytes;
+}
+
 // What a lone call of this stage takes, with all pieces that the request has there.
 nanoseconds stageTime(const StageWork &stage, const Fleet &fleet)
 {
@@ -99,17 +118,39 @@
     return longest;
 }
 
-bool goesBefore(const ReadyPiece &left, const ReadyPiece &right)
+bool hasBegun(const Job &job)
 {
-    const auto key = [](const ReadyPiece &piece) {
-        return std::tie(piece.late_, piece.priority_, piece.startBy_, piece.id_.job_,
-                        piece.id_.stage_, piece.id_.piece_);
+    return std::any_of(job.stages_.begin(), job.stages_.end(), [](const StageWork &stage) {
+        return std::any_of(stage.pieces_.begin(), stage.pieces_.end(), [](const Piece &piece) {
+            return piece.state_ != PieceState::Waiting;
+        });
+    });
+}
+
+bool canBeOnTime(const Job &job, const Fleet &fleet, Instant now)
+{
+    return now + remainingTime(job, fleet) <= job.objectiveAt_;
+}
+
+bool goesBefore(const ReadyPiece &left, const ReadyPiece &right, const std::string &dataCenter)
+{
+    const auto urgency = [&](const ReadyPiece &piece) {
+        std::uint64_t crossing = 0;
+        for (const auto &[place, bytes] : piece.inputBytes_)
+            crossing += place == dataCenter ? 0 : bytes;
+        const double megabytes = static_cast<double>(crossing) / bytesPerMb;
+        return piece.startBy_
+            + nanoseconds(static_cast<std::int64_t>(megabytes * costOfCrossing.count()));
+    };
+    const auto key = [&](const ReadyPiece &piece) {
+        return std::make_tuple(piece.late_, piece.priority_, urgency(piece),
+                               std::tie(piece.id_.job_, piece.id_.stage_, piece.id_.piece_));
     };
     return key(left) < key(right);
 }
 
 std::vector<ReadyPiece> readyPieces(const std::map<JobId, Job> &jobs, const std::string &pool,
-                                    const Fleet &fleet, Instant now)
+                                    const View &view, Instant now)
 {
     std::vector<ReadyPiece> ready;
     for (const auto &[id, job] : jobs) {
@@ -117,26 +158,51 @@
             const StageWork &work = job.stages_[stage];
             if (work.pool_ != pool || job.granted_ || !inputsReady(job, stage))
                 continue;
-            const nanoseconds rest = remainingTime(job, stage, fleet);
-            const bool late = now + rest > job.objectiveAt_;
+            const nanoseconds rest = remainingTime(job, stage, view.fleet_);
+            ReadyPiece item;
+            item.late_ = now + rest > job.objectiveAt_;
+            item.priority_ = job.request_.priority_;
+            item.startBy_ = (item.late_ ? job.deadlineAt_ : job.objectiveAt_) - rest;
+            item.resultBytes_ = work.resultBytes_;
+            item.inputBytes_ = inputBytes(job, stage, view);
             for (std::size_t piece = 0; piece < work.pieces_.size(); ++piece) {
                 if (work.pieces_[piece].state_ != PieceState::Waiting)
                     continue;
-                ReadyPiece item;
                 item.id_ = PieceId{id, static_cast<std::uint32_t>(stage),
                                    static_cast<std::uint32_t>(piece)};
-                item.late_ = late;
-                item.priority_ = job.request_.priority_;
-                item.startBy_ = (late ? job.deadlineAt_ : job.objectiveAt_) - rest;
-                item.resultBytes_ = work.resultBytes_;
-                ready.push_back(std::move(item));
+                ready.push_back(item);
             }
         }
     }
-    std::sort(ready.begin(), ready.end(), goesBefore);
     return ready;
 }
 
+std::vector<ReadyPiece> takeForCall(std::vector<ReadyPiece> &ready, std::size_t batch,
+                                    std::uint64_t room)
+{
+    std::vector<ReadyPiece> taken;
+    std::vector<ReadyPiece> left;
+    for (std::size_t begin = 0; begin < ready.size();) {
+        const PieceId &first = ready[begin].id_;
+        std::size_t end = begin + 1;
+        while (end < ready.size() && ready[end].id_.job_ == first.job_
+               && ready[end].id_.stage_ == first.stage_)
+            ++end;
+        const std::uint64_t bytes = ready[begin].resultBytes_;
+        const std::size_t places = batch - taken.size();
+        const std::size_t fitting = bytes == 0 ? places : std::min<std::size_t>(places, room / bytes);
+        const std::size_t wanted = end - begin;
+        const std::size_t count = taken.empty() ? std::min(fitting, wanted)
+                                                : (wanted <= fitting ? wanted : 0);
+        for (std::size_t i = begin; i < end; ++i)
+            (i < begin + count ? taken : left).push_back(std::move(ready[i]));
+        room -= bytes * count;
+        begin = end;
+    }
+    ready = std::move(left);
+    return taken;
+}
+
 std::uint64_t freeRoom(const StageUpstream &upstream, const PieceCapacity &capacity, Instant now)
 {
     if (upstream.fullUntil_ > now)
@@ -178,14 +244,17 @@
     return lost;
 }
 
-std::size_t backlog(const std::map<JobId, Job> &jobs, const std::string &pool,
-                    std::uint32_t priority)
+std::size_t backlogBefore(const std::map<JobId, Job> &jobs, const std::string &pool,
+                          const Job &job, const Fleet &fleet, Instant now)
 {
     std::size_t count = 0;
-    for (const auto &[id, job] : jobs) {
-        if (job.granted_ || job.request_.priority_ > priority)
+    for (const auto &[id, other] : jobs) {
+        if (&other == &job || other.granted_
+            || other.request_.priority_ > job.request_.priority_)
             continue;
-        for (const StageWork &stage : job.stages_) {
+        if (!hasBegun(other) && !canBeOnTime(other, fleet, now))
+            continue; // it goes behind
+        for (const StageWork &stage : other.stages_) {
             if (stage.pool_ != pool)
                 continue;
             count += static_cast<std::size_t>(
@@ -196,4 +265,23 @@
     return count;
 }
 
+nanoseconds finishTime(const Job &job, const Fleet &fleet,
+                       const std::map<std::string, nanoseconds> &waits)
+{
+    std::vector<nanoseconds> finished(job.stages_.size(), nanoseconds(0));
+    nanoseconds last(0);
+    for (std::size_t stage = 0; stage < job.stages_.size(); ++stage) {
+        nanoseconds start(0);
+        for (const std::uint32_t before : job.stages_[stage].after_)
+            start = std::max(start, finished[before]);
+        const auto wait = waits.find(job.stages_[stage].pool_);
+        const bool idle = wait == waits.end() || stageDone(job.stages_[stage]);
+        // The pool works on what is before this request while earlier stages are done.
+        start = idle ? start : std::max(start, wait->second);
+        finished[stage] = start + stageTime(job.stages_[stage], fleet);
+        last = std::max(last, finished[stage]);
+    }
+    return last;
+}
+
 } // namespace chervilspring
--- a/packages/decision/src/scheduler/scheduler.cpp
+++ b/packages/decision/src/scheduler/scheduler.cpp
@@ -15,6 +15,8 @@
 constexpr std::uint32_t longestAvoidance = 4; // doublings
 constexpr std::uint32_t maxPieceFailures = 3; // of one piece, then the request is refused
 constexpr double slownessWeight = 0.3; // of the newest call in the moving mean
+constexpr nanoseconds toleratedWait = milliseconds(50); // calls end in steps of this size
+constexpr double returnedShare = 0.5; // of the time left, within which a returned request is kept
 constexpr nanoseconds shortestRetry = milliseconds(100);
 constexpr nanoseconds noEngineRetry = milliseconds(500); // while no engine is known
 constexpr nanoseconds forgetAfter = seconds(5); // past its deadline
@@ -289,16 +291,14 @@
     const auto idle = idleUpstreams(state, pool, now);
     if (idle.empty())
         return;
-    const auto ready = readyPieces(state.jobs_, pool, state.view_->fleet_, now);
-    std::size_t next = 0;
+    auto ready = readyPieces(state.jobs_, pool, *state.view_, now);
     for (const Upstream *upstream : idle) {
-        std::uint64_t room = freeRoom(state.stageUpstreams_[upstream->name_], capacity, now);
-        std::vector<ReadyPiece> pieces;
-        while (next < ready.size() && pieces.size() < capacity.batch_
-               && ready[next].resultBytes_ <= room) {
-            room -= ready[next].resultBytes_;
-            pieces.push_back(ready[next++]);
-        }
+        std::sort(ready.begin(), ready.end(), [&](const ReadyPiece &a, const ReadyPiece &b) {
+            return goesBefore(a, b, upstream->dataCenter_);
+        });
+        const std::uint64_t room =
+            freeRoom(state.stageUpstreams_[upstream->name_], capacity, now);
+        const auto pieces = takeForCall(ready, capacity.batch_, room);
         if (!pieces.empty())
             startCall(state, now, pool, capacity, *upstream, pieces, effects);
     }
@@ -312,9 +312,9 @@
     }
 }
 
-// Time that the backlog of a pool takes, for work of a priority.
-nanoseconds backlogTime(const SchedulerState &state, const std::string &pool,
-                        std::uint32_t priority)
+// Time for which a pool is taken by what goes before a new request.
+nanoseconds poolWait(const SchedulerState &state, const std::string &pool, const Job &job,
+                     Instant now)
 {
     const PieceCapacity *capacity = piecesOf(state, pool);
     const auto list = state.upstreamsByPool_.find(pool);
@@ -329,19 +329,42 @@
             std::chrono::duration<double>(callTime(*capacity, capacity->batch_)).count();
         perSecond += capacity->batch_ / (full * slowness);
     }
-    const auto pieces = static_cast<double>(backlog(state.jobs_, pool, priority));
+    const auto pieces = static_cast<double>(
+        backlogBefore(state.jobs_, pool, job, state.view_->fleet_, now));
     return nanoseconds(static_cast<std::int64_t>(pieces / perSecond * 1e9));
 }
 
-nanoseconds predictedTime(const SchedulerState &state, const Job &job)
+nanoseconds predictedTime(const SchedulerState &state, const Job &job, Instant now)
 {
-    nanoseconds waits(0);
-    std::set<std::string> pools;
+    std::map<std::string, nanoseconds> waits;
     for (const StageWork &stage : job.stages_) {
-        if (!stage.pieces_.empty() && pools.insert(stage.pool_).second)
-            waits += backlogTime(state, stage.pool_, job.request_.priority_);
+        if (!stage.pieces_.empty() && !waits.contains(stage.pool_))
+            waits[stage.pool_] = poolWait(state, stage.pool_, job, now);
     }
-    return waits + remainingTime(job, state.view_->fleet_);
+    return finishTime(job, state.view_->fleet_, waits);
+}
+
+// Refuses a new request that the load would make late, as long as it is early enough to come back.
+// What waits for nobody is taken even if it is late.
+bool refuseLate(SchedulerState &state, Instant now, const JobId &id, const Job &job,
+                SchedulerEffects &effects)
+{
+    const nanoseconds predicted = predictedTime(state, job, now);
+    const nanoseconds alone = remainingTime(job, state.view_->fleet_);
+    const nanoseconds untilDeadline = job.deadlineAt_ - now;
+    const bool hopeless = predicted > untilDeadline;
+    const bool crowdedOut = now + predicted > job.objectiveAt_ && predicted - alone > toleratedWait;
+    const bool returned = now + alone > job.objectiveAt_; // late before it came
+    const bool worthWaiting = returned
+        && predicted.count() < static_cast<double>(untilDeadline.count()) * returnedShare;
+    if (!hopeless && (!crowdedOut || worthWaiting))
+        return false;
+    const nanoseconds clear = std::max(shortestRetry, predicted - alone);
+    refuse(state, id, clear,
+           std::string(hopeless ? "deadline" : "objective") + " predicted_ms=" + text(predicted)
+               + " alone_ms=" + text(alone),
+           effects);
+    return true;
 }
 
 bool poolsServed(const SchedulerState &state, const Job &job)
@@ -412,12 +435,8 @@
         refuse(state, id, noEngineRetry, "no_upstream", effects);
         return;
     }
-    const nanoseconds predicted = predictedTime(state, job);
-    if (predicted > job.deadlineAt_ - now) {
-        refuse(state, id, std::max(shortestRetry, predicted - (job.deadlineAt_ - now)),
-               "deadline predicted_ms=" + text(predicted), effects);
+    if (!hasBegun(job) && refuseLate(state, now, id, job, effects))
         return;
-    }
     tryGrant(state, now, id, job, effects);
     dispatch(state, now, effects);
 }
