Give stage results back once fetched; place prompts alike at every scheduler

Results held room until the first event although an engine fetches them before it reads the prompt: they go back 80 ms after the grant. An engine that has a prompt's shared parts was weighed against 100 ms for each MB that crosses data centres, and a new scheduler knew no engine's memory: reading counts three times its time now, a crossing MB 25 ms, and equals are decided by a rank that every scheduler computes alike.

--- a/packages/decision/include/chervilspring/detail/scheduler/engine_plan.hpp
+++ b/packages/decision/include/chervilspring/detail/scheduler/engine_plan.hpp
@@ -40,6 +40,7 @@
     std::uint32_t unreadTokens_ = 0; ///< of the prompt
     nanoseconds wait_{0}; ///< until the prompt is read
     std::uint64_t crossingBytes_ = 0; ///< inputs that lie in another data centre
+    std::uint64_t rank_ = 0; ///< decides among equals, the same way at every scheduler
     nanoseconds total_{0}; ///< all of it as time
     bool full_ = false; ///< no slot or memory
 };
@@ -47,6 +48,9 @@
 /// @brief Where inputs of a request lie: bytes by data centre.
 using InputBytes = std::map<std::string, std::uint64_t>;
 
+/// @brief Whether an engine suits a request better than another one.
+bool isBetter(const EngineCost &left, const EngineCost &right);
+
 /// @brief Weighs an engine for a request.
 EngineCost weighEngine(const Engine &engine, const Upstream &upstream,
                        const EngineCapacity &capacity, const PlanRequest &request,
--- a/packages/decision/include/chervilspring/detail/scheduler/piece_plan.hpp
+++ b/packages/decision/include/chervilspring/detail/scheduler/piece_plan.hpp
@@ -60,6 +60,7 @@
     Instant deadlineAt_{};
     std::string engine_; ///< where it runs, empty before the grant
     bool granted_ = false;
+    Instant grantedAt_{};
 };
 
 /// @brief Room that results hold at their maker.
--- a/packages/decision/src/scheduler/engine_plan.cpp
+++ b/packages/decision/src/scheduler/engine_plan.cpp
@@ -1,5 +1,7 @@
 #include "chervilspring/detail/scheduler/engine_plan.hpp"
 
+#include "chervilspring/digest.hpp"
+
 #include <algorithm>
 
 namespace chervilspring {
@@ -9,7 +11,9 @@
 constexpr double readTokensPerMs = 40.0; // of an engine; the deployments' sheets state 42.6
 constexpr nanoseconds partLifetime = seconds(20); // unused parts are taken as evicted
 constexpr nanoseconds costOfRun = milliseconds(2); // a run slows the others' tokens by about this
-constexpr nanoseconds costOfCrossing = milliseconds(100); // per MB: links are shared and priced
+constexpr nanoseconds costOfCrossing = milliseconds(25); // per MB: links are shared and priced
+constexpr std::int64_t costOfReading = 3; // times its time: it holds up all runs of the engine
+constexpr nanoseconds equalWithin = milliseconds(10); // costs this close are decided by rank
 constexpr double bytesPerMb = 1e6;
 constexpr nanoseconds firstAvoidance = milliseconds(400);
 constexpr std::uint32_t longestAvoidance = 4; // doublings
@@ -41,8 +45,25 @@
                   [&](const auto &item) { return now - item.second > partLifetime; });
 }
 
+// Requests with the same last shared part rank engines alike, whichever scheduler asks: a new one
+// finds the prompts where its predecessor had them read.
+std::uint64_t placementRank(const PlanRequest &request, const Upstream &upstream)
+{
+    const std::size_t count = request.parts_.size();
+    const std::string subject = count >= 2 ? request.parts_[count - 2].id_
+                                           : (count == 1 ? request.parts_[0].id_ : request.id_);
+    return contentDigest(subject + "/" + upstream.name_);
+}
+
 } // namespace
 
+bool isBetter(const EngineCost &left, const EngineCost &right)
+{
+    if (left.total_ / equalWithin != right.total_ / equalWithin)
+        return left.total_ < right.total_;
+    return left.rank_ < right.rank_;
+}
+
 EngineCost weighEngine(const Engine &engine, const Upstream &upstream,
                        const EngineCapacity &capacity, const PlanRequest &request,
                        const InputBytes &inputs, Instant now)
@@ -63,7 +84,9 @@
     }
     cost.wait_ = readTime(queuedTokens + cost.unreadTokens_);
     const double crossing = static_cast<double>(cost.crossingBytes_) / bytesPerMb;
-    cost.total_ = cost.wait_ + costOfRun * static_cast<std::int64_t>(engine.runs_.size())
+    cost.rank_ = placementRank(request, upstream);
+    cost.total_ = readTime(queuedTokens) + readTime(cost.unreadTokens_) * costOfReading
+        + costOfRun * static_cast<std::int64_t>(engine.runs_.size())
         + nanoseconds(static_cast<std::int64_t>(crossing * costOfCrossing.count()));
     return cost;
 }
--- a/packages/decision/src/scheduler/scheduler.cpp
+++ b/packages/decision/src/scheduler/scheduler.cpp
@@ -19,6 +19,7 @@
 constexpr double returnedShare = 0.5; // of the time left, within which a returned request is kept
 constexpr nanoseconds shortestRetry = milliseconds(100);
 constexpr nanoseconds noEngineRetry = milliseconds(500); // while no engine is known
+constexpr nanoseconds inputFetchTime = milliseconds(80); // a grant's way and a fetch over the links
 constexpr nanoseconds forgetAfter = seconds(5); // past its deadline
 
 std::string text(nanoseconds time)
@@ -176,7 +177,7 @@
         const bool avoided =
             engine.avoidUntil_ > now || std::find(avoid.begin(), avoid.end(), name) != avoid.end();
         const bool better = !chosen || (chosenAvoided && !avoided)
-            || (chosenAvoided == avoided && cost.total_ < chosenCost.total_);
+            || (chosenAvoided == avoided && isBetter(cost, chosenCost));
         if (!better)
             continue;
         chosen = upstream;
@@ -197,6 +198,7 @@
     if (!upstream)
         return; // asked again with each sweep
     job.granted_ = true;
+    job.grantedAt_ = now;
     job.engine_ = upstream->name_;
     startRun(state.engines_[upstream->name_], job.request_, cost, now);
     addLine(effects, job,
@@ -651,6 +653,8 @@
     std::vector<JobId> forgotten;
     for (auto &[id, job] : state.jobs_) {
         if (job.granted_) {
+            if (now > job.grantedAt_ + inputFetchTime)
+                freeAll(state, job, effects);
             if (now > job.deadlineAt_ + forgetAfter)
                 forgotten.push_back(id);
             continue;
