--- a/packages/decision/include/chervilspring/detail/scheduler/piece_plan.hpp
+++ b/packages/decision/include/chervilspring/detail/scheduler/piece_plan.hpp
@@ -58,6 +58,7 @@
     Instant arrivedAt_{};
     Instant objectiveAt_{};
     Instant deadlineAt_{};
+    std::string target_; ///< data centre of the engine that it will probably run at
     std::string engine_; ///< where it runs, empty before the grant
     bool granted_ = false;
     Instant grantedAt_{};
@@ -151,9 +152,13 @@
     std::uint32_t priority_ = 0;
     Instant startBy_{}; ///< latest start that meets the objective, or the deadline if late
     std::uint64_t resultBytes_ = 0;
-    std::map<std::string, std::uint64_t> inputBytes_; ///< by data centre
+    std::map<std::string, std::uint64_t> transfers_; ///< bytes to or from each data centre
 };
 
+/// @brief Bytes that would cross data centres if an upstream made a piece.
+/// @param dataCenter of the upstream
+std::uint64_t crossingBytes(const ReadyPiece &piece, const std::string &dataCenter);
+
 /// @brief Order in which an upstream takes ready pieces.
 ///
 /// A request that has begun holds room at its makers, so it goes on before others begin. Inputs that
--- a/packages/decision/src/scheduler/piece_plan.cpp
+++ b/packages/decision/src/scheduler/piece_plan.cpp
@@ -132,13 +132,19 @@
     return now + remainingTime(job, fleet) <= job.objectiveAt_;
 }
 
+std::uint64_t crossingBytes(const ReadyPiece &piece, const std::string &dataCenter)
+{
+    std::uint64_t crossing = 0;
+    for (const auto &[place, bytes] : piece.transfers_)
+        crossing += place == dataCenter ? 0 : bytes;
+    return crossing;
+}
+
 bool goesBefore(const ReadyPiece &left, const ReadyPiece &right, const std::string &dataCenter)
 {
     const auto urgency = [&](const ReadyPiece &piece) {
-        std::uint64_t crossing = 0;
-        for (const auto &[place, bytes] : piece.inputBytes_)
-            crossing += place == dataCenter ? 0 : bytes;
-        const double megabytes = static_cast<double>(crossing) / bytesPerMb;
+        const double megabytes =
+            static_cast<double>(crossingBytes(piece, dataCenter)) / bytesPerMb;
         return piece.startBy_
             + nanoseconds(static_cast<std::int64_t>(megabytes * costOfCrossing.count()));
     };
@@ -164,7 +170,9 @@
             item.priority_ = job.request_.priority_;
             item.startBy_ = (item.late_ ? job.deadlineAt_ : job.objectiveAt_) - rest;
             item.resultBytes_ = work.resultBytes_;
-            item.inputBytes_ = inputBytes(job, stage, view);
+            item.transfers_ = inputBytes(job, stage, view);
+            if (isFinal(job, stage) && !job.target_.empty())
+                item.transfers_[job.target_] += work.resultBytes_;
             for (std::size_t piece = 0; piece < work.pieces_.size(); ++piece) {
                 if (work.pieces_[piece].state_ != PieceState::Waiting)
                     continue;
--- a/packages/decision/src/scheduler/scheduler.cpp
+++ b/packages/decision/src/scheduler/scheduler.cpp
@@ -286,15 +286,32 @@
     effects.push_back(std::move(start));
 }
 
+// The idle upstream that the most urgent piece has its inputs next to; the fastest among equals.
+const Upstream *takeNearest(std::vector<const Upstream *> &idle,
+                            const std::vector<ReadyPiece> &ready)
+{
+    const auto &first = *std::min_element(
+        ready.begin(), ready.end(),
+        [](const ReadyPiece &a, const ReadyPiece &b) { return goesBefore(a, b, {}); });
+    const auto nearest =
+        std::min_element(idle.begin(), idle.end(), [&](const Upstream *a, const Upstream *b) {
+            return crossingBytes(first, a->dataCenter_) < crossingBytes(first, b->dataCenter_);
+        });
+    const Upstream *upstream = *nearest;
+    idle.erase(nearest);
+    return upstream;
+}
+
 // Fills one call for each idle upstream of a pool.
 void dispatchPool(SchedulerState &state, Instant now, const std::string &pool,
                   const PieceCapacity &capacity, SchedulerEffects &effects)
 {
-    const auto idle = idleUpstreams(state, pool, now);
+    auto idle = idleUpstreams(state, pool, now);
     if (idle.empty())
         return;
     auto ready = readyPieces(state.jobs_, pool, *state.view_, now);
-    for (const Upstream *upstream : idle) {
+    while (!idle.empty() && !ready.empty()) {
+        const Upstream *upstream = takeNearest(idle, ready);
         std::sort(ready.begin(), ready.end(), [&](const ReadyPiece &a, const ReadyPiece &b) {
             return goesBefore(a, b, upstream->dataCenter_);
         });
@@ -437,6 +454,9 @@
         refuse(state, id, noEngineRetry, "no_upstream", effects);
         return;
     }
+    EngineCost cost;
+    if (const Upstream *engine = chooseEngine(state, job, now, cost))
+        job.target_ = engine->dataCenter_;
     if (!hasBegun(job) && refuseLate(state, now, id, job, effects))
         return;
     tryGrant(state, now, id, job, effects);
