--- a/packages/decision/include/chervilspring/detail/scheduler/piece_plan.hpp
+++ b/packages/decision/include/chervilspring/detail/scheduler/piece_plan.hpp
@@ -161,8 +161,8 @@
 
 /// @brief Order in which an upstream takes ready pieces.
 ///
-/// A request that has begun holds room at its makers, so it goes on before others begin. Inputs that
-/// would have to come from another data centre count as if the piece were less urgent.
+/// A request that has begun holds room at its makers, so it goes on before others begin. Inputs
+/// that would have to come from another data centre count as if the piece were less urgent.
 /// @param dataCenter of the upstream
 bool goesBefore(const ReadyPiece &left, const ReadyPiece &right, const std::string &dataCenter);
 
@@ -201,8 +201,8 @@
 
 /// @brief Pieces that will be made at a pool before those of a new request.
 /// @param job the new request, whose own pieces don't count
-std::size_t backlogBefore(const std::map<JobId, Job> &jobs, const std::string &pool,
-                          const Job &job, const Fleet &fleet, Instant now);
+std::size_t backlogBefore(const std::map<JobId, Job> &jobs, const std::string &pool, const Job &job,
+                          const Fleet &fleet, Instant now);
 
 /// @brief Time in which a request's stages will be done, given how long its pools are taken.
 /// @param waits by pool, from now on
--- a/packages/decision/src/scheduler/piece_plan.cpp
+++ b/packages/decision/src/scheduler/piece_plan.cpp
@@ -17,8 +17,7 @@
 
 // Bytes of a stage's inputs by the data centre of their makers. Each piece of a stage reads all of
 // them.
-std::map<std::string, std::uint64_t> inputBytes(const Job &job, std::size_t stage,
-                                                const View &view)
+std::map<std::string, std::uint64_t> inputBytes(const Job &job, std::size_t stage, const View &view)
 {
     std::map<std::string, std::uint64_t> bytes;
     for (const std::uint32_t before : job.stages_[stage].after_) {
@@ -42,6 +41,13 @@
     return callTime(*pool->pieces_, perCall);
 }
 
+// A loaded pool makes full calls; a piece that comes finds them half done on average.
+nanoseconds fullCallTime(const StageWork &stage, const Fleet &fleet)
+{
+    const Pool *pool = findByName(fleet.pools_, stage.pool_);
+    return pool && pool->pieces_ ? callTime(*pool->pieces_, pool->pieces_->batch_) : nanoseconds(0);
+}
+
 } // namespace
 
 nanoseconds callTime(const PieceCapacity &capacity, std::size_t pieces)
@@ -121,9 +127,8 @@
 bool hasBegun(const Job &job)
 {
     return std::any_of(job.stages_.begin(), job.stages_.end(), [](const StageWork &stage) {
-        return std::any_of(stage.pieces_.begin(), stage.pieces_.end(), [](const Piece &piece) {
-            return piece.state_ != PieceState::Waiting;
-        });
+        return std::any_of(stage.pieces_.begin(), stage.pieces_.end(),
+                           [](const Piece &piece) { return piece.state_ != PieceState::Waiting; });
     });
 }
 
@@ -143,8 +148,7 @@
 bool goesBefore(const ReadyPiece &left, const ReadyPiece &right, const std::string &dataCenter)
 {
     const auto urgency = [&](const ReadyPiece &piece) {
-        const double megabytes =
-            static_cast<double>(crossingBytes(piece, dataCenter)) / bytesPerMb;
+        const double megabytes = static_cast<double>(crossingBytes(piece, dataCenter)) / bytesPerMb;
         return piece.startBy_
             + nanoseconds(static_cast<std::int64_t>(megabytes * costOfCrossing.count()));
     };
@@ -198,10 +202,11 @@
             ++end;
         const std::uint64_t bytes = ready[begin].resultBytes_;
         const std::size_t places = batch - taken.size();
-        const std::size_t fitting = bytes == 0 ? places : std::min<std::size_t>(places, room / bytes);
+        const std::size_t fitting =
+            bytes == 0 ? places : std::min<std::size_t>(places, room / bytes);
         const std::size_t wanted = end - begin;
-        const std::size_t count = taken.empty() ? std::min(fitting, wanted)
-                                                : (wanted <= fitting ? wanted : 0);
+        const std::size_t count =
+            taken.empty() ? std::min(fitting, wanted) : (wanted <= fitting ? wanted : 0);
         for (std::size_t i = begin; i < end; ++i)
             (i < begin + count ? taken : left).push_back(std::move(ready[i]));
         room -= bytes * count;
@@ -252,13 +257,12 @@
     return lost;
 }
 
-std::size_t backlogBefore(const std::map<JobId, Job> &jobs, const std::string &pool,
-                          const Job &job, const Fleet &fleet, Instant now)
+std::size_t backlogBefore(const std::map<JobId, Job> &jobs, const std::string &pool, const Job &job,
+                          const Fleet &fleet, Instant now)
 {
     std::size_t count = 0;
     for (const auto &[id, other] : jobs) {
-        if (&other == &job || other.granted_
-            || other.request_.priority_ > job.request_.priority_)
+        if (&other == &job || other.granted_ || other.request_.priority_ > job.request_.priority_)
             continue;
         if (!hasBegun(other) && !canBeOnTime(other, fleet, now))
             continue; // it goes behind
@@ -282,11 +286,14 @@
         nanoseconds start(0);
         for (const std::uint32_t before : job.stages_[stage].after_)
             start = std::max(start, finished[before]);
-        const auto wait = waits.find(job.stages_[stage].pool_);
-        const bool idle = wait == waits.end() || stageDone(job.stages_[stage]);
+        const StageWork &work = job.stages_[stage];
+        const auto wait = waits.find(work.pool_);
+        const bool loaded =
+            wait != waits.end() && wait->second > nanoseconds(0) && !stageDone(work);
         // The pool works on what is before this request while earlier stages are done.
-        start = idle ? start : std::max(start, wait->second);
-        finished[stage] = start + stageTime(job.stages_[stage], fleet);
+        if (loaded)
+            start = std::max(start, wait->second) + fullCallTime(work, fleet) / 2;
+        finished[stage] = start + (loaded ? fullCallTime(work, fleet) : stageTime(work, fleet));
         last = std::max(last, finished[stage]);
     }
     return last;
--- a/packages/decision/src/scheduler/scheduler.cpp
+++ b/packages/decision/src/scheduler/scheduler.cpp
@@ -290,9 +290,10 @@
 const Upstream *takeNearest(std::vector<const Upstream *> &idle,
                             const std::vector<ReadyPiece> &ready)
 {
-    const auto &first = *std::min_element(
-        ready.begin(), ready.end(),
-        [](const ReadyPiece &a, const ReadyPiece &b) { return goesBefore(a, b, {}); });
+    const auto &first =
+        *std::min_element(ready.begin(), ready.end(), [](const ReadyPiece &a, const ReadyPiece &b) {
+            return goesBefore(a, b, {});
+        });
     const auto nearest =
         std::min_element(idle.begin(), idle.end(), [&](const Upstream *a, const Upstream *b) {
             return crossingBytes(first, a->dataCenter_) < crossingBytes(first, b->dataCenter_);
@@ -315,8 +316,7 @@
         std::sort(ready.begin(), ready.end(), [&](const ReadyPiece &a, const ReadyPiece &b) {
             return goesBefore(a, b, upstream->dataCenter_);
         });
-        const std::uint64_t room =
-            freeRoom(state.stageUpstreams_[upstream->name_], capacity, now);
+        const std::uint64_t room = freeRoom(state.stageUpstreams_[upstream->name_], capacity, now);
         const auto pieces = takeForCall(ready, capacity.batch_, room);
         if (!pieces.empty())
             startCall(state, now, pool, capacity, *upstream, pieces, effects);
@@ -348,8 +348,8 @@
             std::chrono::duration<double>(callTime(*capacity, capacity->batch_)).count();
         perSecond += capacity->batch_ / (full * slowness);
     }
-    const auto pieces = static_cast<double>(
-        backlogBefore(state.jobs_, pool, job, state.view_->fleet_, now));
+    const auto pieces =
+        static_cast<double>(backlogBefore(state.jobs_, pool, job, state.view_->fleet_, now));
     return nanoseconds(static_cast<std::int64_t>(pieces / perSecond * 1e9));
 }
 
@@ -374,8 +374,8 @@
     const bool hopeless = predicted > untilDeadline;
     const bool crowdedOut = now + predicted > job.objectiveAt_ && predicted - alone > toleratedWait;
     const bool returned = now + alone > job.objectiveAt_; // late before it came
-    const bool worthWaiting = returned
-        && predicted.count() < static_cast<double>(untilDeadline.count()) * returnedShare;
+    const bool worthWaiting =
+        returned && predicted.count() < static_cast<double>(untilDeadline.count()) * returnedShare;
     if (!hopeless && (!crowdedOut || worthWaiting))
         return false;
     const nanoseconds clear = std::max(shortestRetry, predicted - alone);
@@ -576,8 +576,8 @@
         lost += loseResults(job, upstream);
     state.stageUpstreams_[upstream].held_.clear();
     if (lost > 0)
-        effects.push_back(DecisionLine{"decision=results_lost upstream=" + upstream + " pieces="
-                                       + std::to_string(lost) + " reason=" + reason});
+        effects.push_back(DecisionLine{"decision=results_lost upstream=" + upstream
+                                       + " pieces=" + std::to_string(lost) + " reason=" + reason});
 }
 
 void onCallEnded(SchedulerState &state, Instant now, const StageCallEnded &event,
@@ -617,9 +617,10 @@
     for (std::size_t i = 0; i < call.pieces_.size(); ++i)
         onItemDone(state, now, call, i, done ? event.items_[i] : StageItemResult{{}, whole},
                    effects);
-    const bool full = std::any_of(
-        event.items_.begin(), event.items_.end(),
-        [](const StageItemResult &item) { return item.failure_ == ItemFailure::NoRoom; });
+    const bool full =
+        std::any_of(event.items_.begin(), event.items_.end(), [](const StageItemResult &item) {
+            return item.failure_ == ItemFailure::NoRoom;
+        });
     if (full)
         noteNoRoom(state.stageUpstreams_[call.upstream_], now);
     else if (done)
--- /dev/null
+++ b/packages/decision/tests/unit-scheduler.cpp
@@ -0,0 +1,257 @@
+// Covers detail/scheduler/*.hpp: calls filled across requests, inputs, refusals, lost upstreams.
+#include "stage_model.hpp"
+
+#include <boost/test/data/monomorphic.hpp>
+#include <boost/test/data/test_case.hpp>
+
+namespace {
+
+using namespace chervilspring;
+namespace data = boost::unit_test::data;
+
+BOOST_AUTO_TEST_CASE(pieces_of_several_requests_share_a_call)
+{
+    StageModelSettings settings;
+    settings.stageUpstreams_ = 1;
+    StageModel model(settings);
+    model.ask(1, 1); // takes the only upstream
+    for (int i = 0; i < 3; ++i)
+        model.ask(2, 1);
+    model.run(milliseconds(300));
+    BOOST_REQUIRE(model.calls_.size() >= 2u);
+    std::set<std::string> requests;
+    for (const StageItem &item : model.calls_[1].items_)
+        requests.insert(item.request_);
+    BOOST_TEST(model.calls_[1].items_.size() == 6u);
+    BOOST_TEST(requests.size() == 3u);
+}
+
+BOOST_AUTO_TEST_CASE(a_stage_gets_all_results_of_the_stage_before_and_the_engine_the_last_ones)
+{
+    StageModel model({});
+    const std::string id = model.ask(3, 2);
+    model.run(seconds(2));
+    BOOST_REQUIRE(model.grants_.contains(id));
+    for (const StartStageCall &call : model.calls_) {
+        for (const StageItem &item : call.items_) {
+            BOOST_TEST(item.hasInputs_ == (item.stage_ == 1));
+            BOOST_TEST(item.key_ == (item.stage_ == 0 ? "k" : ""));
+            if (item.stage_ == 1)
+                BOOST_TEST(item.inputs_.size() == 3u);
+        }
+    }
+    const auto &inputs = model.grants_[id].inputs_;
+    BOOST_REQUIRE(inputs.size() == 2u);
+    for (std::size_t piece = 0; piece < inputs.size(); ++piece)
+        BOOST_TEST(inputs[piece].ends_with(id + ".1." + std::to_string(piece)));
+    // Every result was given back once nobody needed it.
+    BOOST_TEST(model.freed_.size() == 5u);
+}
+
+BOOST_AUTO_TEST_CASE(request_without_pieces_is_granted_at_once_without_inputs)
+{
+    StageModel model({});
+    const std::string id = model.ask(0, 0);
+    BOOST_REQUIRE(model.grants_.contains(id));
+    BOOST_TEST(model.grants_[id].inputs_.empty());
+    BOOST_TEST(model.calls_.empty());
+}
+
+// A request that is split over calls holds room until its last piece is made.
+BOOST_AUTO_TEST_CASE(call_takes_whole_requests_after_the_most_urgent_one)
+{
+    std::vector<ReadyPiece> ready;
+    const auto add = [&](const char *request, int pieces) {
+        for (int i = 0; i < pieces; ++i) {
+            ReadyPiece piece;
+            piece.id_ = PieceId{JobId{"e", request}, 0, static_cast<std::uint32_t>(i)};
+            piece.resultBytes_ = 10;
+            ready.push_back(piece);
+        }
+    };
+    add("a", 3);
+    add("b", 6);
+    add("c", 4);
+    const auto taken = takeForCall(ready, 8, 1000);
+    BOOST_TEST(taken.size() == 7u); // a and c
+    BOOST_TEST(ready.size() == 6u); // b waits whole
+    const auto limited = takeForCall(ready, 8, 25);
+    BOOST_TEST(limited.size() == 2u); // the first request goes as far as there is room
+}
+
+BOOST_AUTO_TEST_CASE(upstream_without_room_pauses_and_the_piece_is_not_at_fault)
+{
+    StageModelSettings settings;
+    settings.stageUpstreams_ = 1;
+    StageModel model(settings);
+    const std::string id = model.ask(1, 1);
+    BOOST_REQUIRE(model.calls_.size() == 1u);
+    for (int i = 0; i < 10; ++i) {
+        const std::size_t before = model.calls_.size();
+        StageCallEnded ended;
+        ended.call_ = model.calls_.back().call_;
+        ended.end_ = StageCallEnd::Done;
+        ended.items_ = {StageItemResult{{}, ItemFailure::NoRoom}};
+        model.handle(0, ended);
+        BOOST_TEST(model.calls_.size() == before); // not sent again at once
+        model.now_ += milliseconds(200);
+        model.handle(0, Wake{});
+        BOOST_TEST(model.calls_.size() == before + 1);
+    }
+    BOOST_TEST(!model.refusals_.contains(id));
+}
+
+BOOST_AUTO_TEST_CASE(results_of_a_vanished_upstream_are_made_again)
+{
+    StageModelSettings settings;
+    settings.stageUpstreams_ = 2;
+    StageModel model(settings);
+    const std::string id = model.ask(1, 1);
+    model.run(milliseconds(230)); // the first stage is done, the second one runs
+    BOOST_REQUIRE(model.calls_.size() == 2u);
+    model.remove(model.calls_[0].upstream_.name_);
+    StageCallEnded ended;
+    ended.call_ = model.calls_[1].call_;
+    ended.end_ = StageCallEnd::Done;
+    ended.items_ = {StageItemResult{{}, ItemFailure::InputGone}};
+    model.handle(0, ended);
+    model.run(seconds(3));
+    BOOST_TEST(model.grants_.contains(id));
+}
+
+BOOST_DATA_TEST_CASE(crashed_stage_upstream_costs_a_call_not_a_request, data::xrange(1, 6), seed)
+{
+    StageModelSettings settings;
+    settings.seed_ = static_cast<std::uint64_t>(seed);
+    StageModel model(settings);
+    model.load(10, seconds(2));
+    model.crash("first-1");
+    model.load(10, seconds(3));
+    model.run(seconds(7));
+    const StageModelResult result = model.result();
+    BOOST_TEST(result.unanswered_ == 0);
+    BOOST_TEST(result.onTime_ + result.late_ >= result.asked_ * 9 / 10);
+}
+
+// The load: twice what full calls can carry, for five seconds. What can't be on time is told so
+// while it can still go elsewhere, with a time to come back.
+BOOST_DATA_TEST_CASE(burst_is_refused_at_once_and_what_is_taken_is_on_time, data::xrange(1, 6),
+                     seed)
+{
+    StageModelSettings settings;
+    settings.seed_ = static_cast<std::uint64_t>(seed);
+    StageModel model(settings);
+    model.load(70, seconds(5));
+    model.run(seconds(7));
+    const StageModelResult result = model.result();
+    BOOST_TEST(result.unanswered_ == 0);
+    BOOST_TEST(result.refused_ > 0);
+    int atOnce = 0;
+    for (const auto &[id, refusal] : model.refusals_) {
+        BOOST_TEST((refusal.retryAfter_ > nanoseconds(0)));
+        atOnce += refusal.reason_.starts_with("objective") ? 1 : 0;
+    }
+    BOOST_TEST(atOnce * 10 >= result.refused_ * 8);
+    BOOST_TEST(result.onTime_ * 10 >= (result.onTime_ + result.late_) * 8);
+}
+
+// The baseline is each entry with a scheduler of its own: calls a quarter full.
+BOOST_DATA_TEST_CASE(one_scheduler_serves_more_than_one_for_each_entry, data::xrange(1, 6), seed)
+{
+    StageModelSettings settings;
+    settings.seed_ = static_cast<std::uint64_t>(seed);
+    StageModel shared(settings);
+    shared.load(35, seconds(10));
+    shared.run(seconds(7));
+    settings.schedulers_ = 8;
+    StageModel apart(settings);
+    apart.load(35, seconds(10));
+    apart.run(seconds(7));
+    BOOST_TEST(shared.result().onTime_ > apart.result().onTime_ * 5 / 4);
+}
+
+BOOST_AUTO_TEST_CASE(idle_upstreams_are_not_left_idle_by_a_refusal)
+{
+    StageModelSettings settings;
+    settings.objective_ = milliseconds(100); // nothing can be on time
+    StageModel model(settings);
+    const std::string id = model.ask(1, 1);
+    model.run(seconds(2));
+    BOOST_TEST(model.grants_.contains(id));
+}
+
+BOOST_AUTO_TEST_CASE(entry_that_is_lost_takes_its_waiting_requests_along)
+{
+    StageModel model({});
+    model.ask(1, 1);
+    model.handle(0, PeerLost{"entry"});
+    BOOST_TEST(model.state().jobs_.empty());
+    model.run(seconds(1));
+    BOOST_TEST(model.grants_.empty());
+    BOOST_TEST(model.freed_.size() == 1u); // the running call's result is given back
+}
+
+PlanRequest promptOf(const std::string &subject)
+{
+    PlanRequest request;
+    request.id_ = "x" + subject;
+    request.promptTokens_ = 9000;
+    request.parts_ = {PromptPart{"shared", 2500}, PromptPart{subject, 3800},
+                      PromptPart{"own", 2700}};
+    return request;
+}
+
+BOOST_AUTO_TEST_CASE(engine_with_the_prompt_in_memory_is_preferred_until_it_is_loaded)
+{
+    Engine warm;
+    const Engine cold;
+    Upstream left;
+    left.name_ = "left";
+    Upstream right;
+    right.name_ = "right";
+    const EngineCapacity capacity{64, 400'000};
+    const Instant now(seconds(50));
+    startRun(warm, promptOf("s"), EngineCost{}, now);
+    endRun(warm, "xs", false, now);
+    PlanRequest again = promptOf("s");
+    again.id_ = "again";
+    const EngineCost warmCost = weighEngine(warm, left, capacity, again, {}, now);
+    const EngineCost coldCost = weighEngine(cold, right, capacity, again, {}, now);
+    BOOST_TEST(warmCost.unreadTokens_ < coldCost.unreadTokens_);
+    BOOST_TEST(isBetter(warmCost, coldCost));
+    // What was read long ago counts as evicted.
+    const EngineCost stale = weighEngine(warm, left, capacity, again, {}, now + seconds(60));
+    BOOST_TEST(stale.unreadTokens_ == coldCost.unreadTokens_);
+    for (int i = 0; i < 64; ++i) {
+        PlanRequest other = promptOf("o" + std::to_string(i));
+        startRun(warm, other, EngineCost{3000}, now);
+    }
+    BOOST_TEST(weighEngine(warm, left, capacity, again, {}, now).full_);
+}
+
+// A scheduler that takes over knows no engine's memory; it has to guess as its predecessor did.
+BOOST_AUTO_TEST_CASE(two_schedulers_choose_the_same_engine_for_a_subject)
+{
+    for (int i = 0; i < 20; ++i) {
+        const PlanRequest request = promptOf("subject" + std::to_string(i));
+        std::set<std::string> chosen;
+        for (int scheduler = 0; scheduler < 2; ++scheduler) {
+            std::string best;
+            EngineCost bestCost;
+            for (const char *name : {"a", "b", "c", "d"}) {
+                Upstream upstream;
+                upstream.name_ = name;
+                const EngineCost cost = weighEngine(Engine{}, upstream, EngineCapacity{64, 400'000},
+                                                    request, {}, Instant(seconds(9)));
+                if (!best.empty() && !isBetter(cost, bestCost))
+                    continue;
+                best = name;
+                bestCost = cost;
+            }
+            chosen.insert(best);
+        }
+        BOOST_TEST(chosen.size() == 1u);
+    }
+}
+
+} // namespace
