--- a/packages/decision/tests/control_group.hpp
+++ b/packages/decision/tests/control_group.hpp
@@ -77,9 +77,11 @@
         GroupMember &member = members_.at(name);
         ControlSettings settings;
         settings.consensus_.self_ = Member{member.disk_.synced_.memberId_, name, false};
-        settings.consensus_.controlNames_ = names_;
+        settings.consensus_.controlNames_ = seeds_.empty() ? names_ : seeds_.at(name);
+        settings.consensus_.openMembership_ = !seeds_.empty();
+        settings.consensus_.mayFound_ = !founded_;
         settings.consensus_.snapshotEntries_ = snapshotEntries_;
-        settings.consensus_.replaceAfter_ = milliseconds(8000);
+        settings.consensus_.replaceAfter_ = milliseconds(seeds_.empty() ? 8000 : 1500);
         settings.consensus_.seed_ = random_();
         settings.consensus_.newCluster_ = random_() | 1;
         member.disk_.unsynced_.clear();
@@ -87,6 +89,27 @@
         member.up_ = true;
     }
 
+    /// @brief Starts all processes anew, with blank disks, knowing only some of them.
+    void openWithSeeds(const std::vector<std::string> &seeds)
+    {
+        messages_.clear();
+        for (const std::string &name : names_)
+            seeds_[name] = seeds;
+        for (const std::string &name : names_)
+            boot(name);
+        founded_ = true;
+    }
+
+    /// @brief A further process starts with a blank disk.
+    void add(const std::string &name, const std::vector<std::string> &seeds)
+    {
+        names_.push_back(name);
+        seeds_[name] = seeds;
+        members_[name].name_ = name;
+        members_[name].disk_.synced_.memberId_ = nextMemberId_++;
+        boot(name);
+    }
+
     /// @brief The process dies; what was not synced is lost.
     void crash(const std::string &name)
     {
@@ -259,6 +282,8 @@
 
     std::mt19937_64 random_;
     std::uint32_t snapshotEntries_;
+    std::map<std::string, std::vector<std::string>> seeds_; ///< by process; empty: all are named
+    bool founded_ = false; ///< processes that start now may only join
     std::vector<std::string> names_;
     std::map<std::string, GroupMember> members_;
     std::vector<GroupMessage> messages_;
