Buffer log lines without blocking, refuse requests that crash upstreams on routes, hand views over under a lock

Logs go to standard output through a bounded buffer; what doesn't fit is dropped and counted, so a slow reader never holds a request. A request that broke three upstreams' connections, under whatever ids and at any entry, reaches no further one; one that ends well clears its count (test failed first: request_that_crashed_three_upstreams_reaches_no_further_one). Views were handed over by std::atomic<std::shared_ptr>, which TSan reports as a race in this compiler's library.

--- a/packages/core/include/chervilspring/settings.hpp
+++ b/packages/core/include/chervilspring/settings.hpp
@@ -78,7 +78,7 @@
     std::uint16_t httpPort_ = 0; ///< callers, operators or the local upstream
     std::string secret_; ///< shared by the processes of the fleet
     std::vector<ControlAddress> control_;
-    std::string logFile_; ///< empty: standard error
+    std::string logFile_; ///< empty: standard output
     std::string logLevel_;
     std::size_t bodyLimit_ = 0;
     milliseconds readTimeout_{0};
--- a/packages/core/src/settings.cpp
+++ b/packages/core/src/settings.cpp
@@ -64,7 +64,7 @@
      "time between failing /readyz and refusing new requests at a planned stop"},
     {"node", "stale_after", SettingKind::Number, "ms", 1000, 16000, "16000", "",
      "age of the view at which new work is refused"},
-    {"log", "file", SettingKind::Text, "", 0, longText, "", "", "log file; empty: standard error"},
+    {"log", "file", SettingKind::Text, "", 0, longText, "", "", "log file; empty: standard output"},
     {"log", "level", SettingKind::Choice, "", 0, 0, "info", "debug|info|warn|error", "log level"},
     {"control", "data_folder", SettingKind::Text, "", 0, longText, "", "",
      "folder for the replicated log; required for role control"},
--- a/packages/decision/include/chervilspring/detail/direct/direct.hpp
+++ b/packages/decision/include/chervilspring/detail/direct/direct.hpp
@@ -31,6 +31,7 @@
     std::uint32_t outputTokens_ = 0; ///< expected
     std::vector<PromptPart> parts_;
     std::string lastEventId_; ///< the caller already has events up to this one
+    std::uint64_t bodyDigest_ = 0;
 };
 
 /// @brief How a run at an upstream ended.
@@ -122,7 +123,7 @@
 };
 
 using DirectEffect = std::variant<StartRun, StopRun, DeliverHeld, RefuseCall, AbortCall,
-                                  DirectEnded, SendToPeer, DecisionLine>;
+                                  DirectEnded, SubmitProposal, SendToPeer, DecisionLine>;
 using DirectEffects = std::vector<DirectEffect>;
 
 /// @brief Settings of the reducer.
@@ -147,6 +148,7 @@
     std::string pool_;
     std::string account_;
     std::uint32_t priority_ = 0;
+    std::uint64_t digest_ = 0; ///< of account, path and body: what a crash is counted against
     DirectPhase phase_ = DirectPhase::Planning;
     bool streamed_ = false; ///< the caller has a part of the answer
     Instant arrivedAt_{};
--- a/packages/decision/src/direct/direct.cpp
+++ b/packages/decision/src/direct/direct.cpp
@@ -1,5 +1,7 @@
 #include "chervilspring/detail/direct/direct.hpp"
 
+#include "chervilspring/digest.hpp"
+
 #include <algorithm>
 
 namespace chervilspring {
@@ -13,6 +15,10 @@
 constexpr unsigned statusGatewayTimeout = 504;
 constexpr unsigned firstServerError = 500;
 
+constexpr std::uint32_t crashesToRefuse = 3; // of upstreams that ran the same request
+constexpr nanoseconds crashPatience = seconds(3); // for a crash to be committed
+constexpr nanoseconds suspectRetry = seconds(5); // the cause may be mended by then
+
 constexpr nanoseconds noViewRetry = milliseconds(500); // while there is no configuration
 constexpr nanoseconds noUpstreamRetry = milliseconds(300);
 constexpr nanoseconds fullRetry = milliseconds(200); // after upstreams refused
@@ -239,6 +245,15 @@
     effects.push_back(DirectEnded{call.token_, reason});
 }
 
+const Suspect *findSuspect(const DirectState &state, std::uint64_t digest)
+{
+    for (const Suspect &suspect : state.table_->view_->suspects_) {
+        if (suspect.digest_ == digest)
+            return &suspect;
+    }
+    return nullptr;
+}
+
 void onCall(DirectState &state, Instant now, const DirectCall &call, DirectEffects &effects)
 {
     if (!canServe(state)) {
@@ -255,12 +270,22 @@
         refuseUnrouted(call, statusUnauthorized, nanoseconds(0), "bad_credential", state, effects);
         return;
     }
+    const std::string accountName = account ? account->name_ : std::string();
+    const std::uint64_t digest =
+        contentDigest(accountName + "\n" + call.path_ + "\n" + std::to_string(call.bodyDigest_));
+    const Suspect *suspect = findSuspect(state, digest);
+    if (suspect && suspect->crashes_ >= crashesToRefuse) {
+        refuseUnrouted(call, statusUnavailable, suspectRetry,
+                       "crashed_upstreams digest=" + std::to_string(digest), state, effects);
+        return;
+    }
     DirectRequest &request = state.requests_[call.token_];
     request.call_ = call;
+    request.digest_ = digest;
     request.table_ = state.table_;
     request.route_ = route;
     request.pool_ = drawPool(*route, state.random_());
-    request.account_ = account ? account->name_ : std::string();
+    request.account_ = accountName;
     request.priority_ = (account ? account->priority_ : 0) * priorityStep + route->priority_;
     request.arrivedAt_ = now;
     request.endAt_ = now + std::min<nanoseconds>(call.patience_, route->timeout_);
@@ -304,6 +329,24 @@
     giveUp(state, now, event.token_, fullRetry, "upstreams_full", effects);
 }
 
+// A connection that breaks before an answer may be the request's doing: the crash is counted for
+// all entries. A request that ends well clears itself.
+void reportCrash(const DirectState &state, const DirectRequest &request, DirectEffects &effects)
+{
+    const Suspect *known = findSuspect(state, request.digest_);
+    addLine(effects, request, "crash",
+            "upstream=" + request.upstream_ + " digest=" + std::to_string(request.digest_)
+                + " crashes_before=" + std::to_string(known ? known->crashes_ : 0));
+    effects.push_back(
+        SubmitProposal{0, ReportCrash{request.digest_, request.upstream_, false}, crashPatience});
+}
+
+void clearIfSuspect(const DirectState &state, const DirectRequest &request, DirectEffects &effects)
+{
+    if (findSuspect(state, request.digest_))
+        effects.push_back(SubmitProposal{0, ClearSuspect{request.digest_}, crashPatience});
+}
+
 // A run that may have done its work, without an answer for the caller.
 void onFailedRun(DirectState &state, Instant now, const RunEnded &event, DirectRequest &request,
                  DirectEffects &effects)
@@ -313,6 +356,8 @@
     addLine(effects, request, "run_failed",
             "upstream=" + request.upstream_ + " took_ms=" + text(now - request.startedAt_)
                 + " last_event=" + request.lastEventId_ + " detail=" + event.detail_);
+    if (event.end_ == RunEnd::Failed && event.status_ == 0)
+        reportCrash(state, request, effects);
     const bool allowed = repeatable(request) && request.maybeRan_ < request.route_->maxAttempts_;
     if (allowed && mayRepeat(state, now, request)) {
         sendAgain(state, now, event.token_, true, effects);
@@ -339,6 +384,8 @@
         sendAgain(state, now, event.token_, true, effects);
         return;
     }
+    if (!failed)
+        clearIfSuspect(state, request, effects);
     tellScheduler(request, !failed, "answered", effects);
     effects.push_back(DeliverHeld{event.token_, event.attempt_});
     finish(state, now, event.token_, "delivered", event.status_, effects);
@@ -356,6 +403,7 @@
     switch (event.end_) {
     case RunEnd::Delivered:
         ++request->maybeRan_;
+        clearIfSuspect(state, *request, effects);
         tellScheduler(*request, true, "delivered", effects);
         finish(state, now, event.token_, "delivered", event.status_, effects);
         return;
--- a/packages/decision/tests/unit-direct.cpp
+++ b/packages/decision/tests/unit-direct.cpp
@@ -261,6 +261,33 @@
     BOOST_TEST(bench.state_.requests_.empty());
 }
 
+// The same body comes again under other ids, at any entry: crashes are counted for the fleet.
+BOOST_AUTO_TEST_CASE(request_that_crashed_three_upstreams_reaches_no_further_one)
+{
+    Bench bench;
+    bench.call("unsafe", 1);
+    const auto effects = bench.handle(RunEnded{1, 1, RunEnd::Failed, 0, "", "reset"});
+    BOOST_REQUIRE(only<SubmitProposal>(effects).size() == 1u);
+    const auto command = only<SubmitProposal>(effects)[0].command_;
+    const std::uint64_t digest = std::get<ReportCrash>(command).digest_;
+    for (const std::uint32_t crashes : {2u, 3u}) {
+        auto view = std::make_shared<View>(*testView());
+        view->version_ = 7 + crashes;
+        view->suspects_ = {Suspect{digest, crashes, false}};
+        ViewChanged changed;
+        changed.view_ = view;
+        bench.handle(changed);
+        const auto again = bench.call("unsafe", 10 + crashes);
+        BOOST_TEST(only<StartRun>(again).size() == (crashes < 3 ? 1u : 0u));
+        BOOST_TEST(only<RefuseCall>(again).size() == (crashes < 3 ? 0u : 1u));
+    }
+    // Other bodies run; one that ends well takes its count back.
+    BOOST_TEST(only<StartRun>(bench.call("safe", 50)).size() == 1u);
+    const auto ended = bench.handle(RunEnded{12, 1, RunEnd::Held, 200, "", ""});
+    BOOST_REQUIRE(only<SubmitProposal>(ended).size() == 1u);
+    BOOST_TEST(std::holds_alternative<ClearSuspect>(only<SubmitProposal>(ended)[0].command_));
+}
+
 BOOST_AUTO_TEST_CASE(caller_that_leaves_stops_its_run_and_its_plan)
 {
     Bench bench;
--- a/packages/server/include/chervilspring/detail/process/node_thread.hpp
+++ b/packages/server/include/chervilspring/detail/process/node_thread.hpp
@@ -6,13 +6,38 @@
 #include "chervilspring/detail/node/node.hpp"
 #include "chervilspring/settings.hpp"
 
-#include <atomic>
+#include <mutex>
 #include <thread>
 
 namespace chervilspring {
 
-/// @brief Newest published view; read without a lock by traffic threads.
-using PublishedView = std::atomic<std::shared_ptr<const ViewChanged>>;
+/// @brief Newest published view, handed from the control thread to traffic threads.
+///
+/// A lock, since std::atomic<std::shared_ptr> of this compiler's library is a spin lock that
+/// unlocks relaxed after a load.
+class PublishedView
+{
+public:
+    explicit PublishedView(std::shared_ptr<const ViewChanged> view) : view_(std::move(view)) { }
+
+    /// @brief Newest view.
+    std::shared_ptr<const ViewChanged> load() const
+    {
+        const std::lock_guard lock(mutex_);
+        return view_;
+    }
+
+    /// @brief Publishes a view.
+    void store(std::shared_ptr<const ViewChanged> view)
+    {
+        const std::lock_guard lock(mutex_);
+        view_ = std::move(view);
+    }
+
+private:
+    mutable std::mutex mutex_;
+    std::shared_ptr<const ViewChanged> view_;
+};
 
 /// @brief Callbacks of the control thread, called on that thread.
 struct NodeCallbacks
--- a/packages/server/src/direct_thread.cpp
+++ b/packages/server/src/direct_thread.cpp
@@ -142,6 +142,7 @@
                                exchange->abort();
                        },
                        [&](const DirectEnded &e) { release(e.token_, e.outcome_); },
+                       [&](SubmitProposal &e) { node_.post(std::move(e)); },
                        [&](const SendToPeer &e) { network_.send(e.peer_, e.message_); },
                        [](const DecisionLine &e) { writeLog(LogLevel::Info, e.text_); },
                    },
@@ -180,6 +181,7 @@
         [&]() -> leaf::result<void> {
             BOOST_LEAF_AUTO(call, protocol_.decodeCall_(exchange->request()));
             call.token_ = exchange->token();
+            call.bodyDigest_ = contentDigest(exchange->request().body());
             exchanges_[call.token_] = exchange;
             arrivals_[call.token_] = BootClock::now();
             handle(call);
--- a/packages/server/src/log.cpp
+++ b/packages/server/src/log.cpp
@@ -1,15 +1,19 @@
 #include "chervilspring/log.hpp"
 
+#include <log4cxx/asyncappender.h>
 #include <log4cxx/basicconfigurator.h>
 #include <log4cxx/consoleappender.h>
 #include <log4cxx/fileappender.h>
 #include <log4cxx/logger.h>
+#include <log4cxx/logmanager.h>
 #include <log4cxx/patternlayout.h>
 
 namespace chervilspring {
 
 namespace {
 
+constexpr int bufferedLines = 4096; // about a second of the busiest process
+
 constexpr char pattern[] = "%d{yyyy-MM-dd HH:mm:ss.SSS} %-5p %m%n";
 
 log4cxx::LoggerPtr logger()
@@ -26,13 +30,24 @@
     log4cxx::AppenderPtr appender;
     if (file.empty())
         appender = std::make_shared<log4cxx::ConsoleAppender>(
-            layout, log4cxx::ConsoleAppender::getSystemErr());
+            layout, log4cxx::ConsoleAppender::getSystemOut());
     else
         appender = std::make_shared<log4cxx::FileAppender>(layout, file, true);
-    log4cxx::BasicConfigurator::configure(appender);
+    // Whoever reads the output may be slow: lines wait in a bounded buffer, and what doesn't fit is
+    // dropped and counted in a line of its own.
+    const auto buffered = std::make_shared<log4cxx::AsyncAppender>();
+    buffered->setBufferSize(bufferedLines);
+    buffered->setBlocking(false);
+    buffered->addAppender(appender);
+    log4cxx::BasicConfigurator::configure(buffered);
     logger()->setLevel(log4cxx::Level::toLevel(level));
 }
 
+void closeLog()
+{
+    log4cxx::LogManager::shutdown();
+}
+
 void writeLog(LogLevel level, const std::string &text)
 {
     switch (level) {
--- a/packages/server/src/run_process.cpp
+++ b/packages/server/src/run_process.cpp
@@ -247,6 +247,7 @@
                 settings, std::move(storage.first), storage.second,
                 [](const Error &error) {
                     writeLog(LogLevel::Error, toString(error));
+                    closeLog();
                     std::_Exit(exitStorage);
                 },
                 protocol);
@@ -295,9 +296,11 @@
         }
     } catch (const boost::system::system_error &error) {
         writeLog(LogLevel::Error, std::string("start failed: ") + error.what());
+        closeLog();
         return exitPort;
     }
     writeLog(LogLevel::Info, "stopped name=" + settings.name_);
+    closeLog();
     return status;
 }
 
