Count a crash against a request only if its upstream is down

An upstream that breaks a connection is asked for a new one first; a crash count without a further crash for 60 s is cleared by the leader.

--- a/packages/decision/include/chervilspring/detail/control/control.hpp
+++ b/packages/decision/include/chervilspring/detail/control/control.hpp
@@ -110,6 +110,7 @@
     FleetState fleet_;
     std::map<std::uint64_t, Waiter> waiters_; ///< by log index
     std::map<std::string, NodeStatus> nodes_;
+    std::map<std::uint64_t, std::pair<std::uint32_t, Instant>> suspects_; ///< crashes, seen at
     MemberRole roleBefore_ = MemberRole::Learner;
     Instant leadingSince_{};
     bool founding_ = false; ///< became leader before there was any configuration
--- a/packages/decision/include/chervilspring/detail/direct/direct.hpp
+++ b/packages/decision/include/chervilspring/detail/direct/direct.hpp
@@ -64,8 +64,16 @@
     std::uint32_t attempt_ = 0;
 };
 
-using DirectEvent = std::variant<DirectCall, RunEnded, RunStarted, CallerGone, PeerMessage,
-                                 PeerLost, ViewChanged, Wake>;
+/// @brief Whether an upstream still takes connections after it broke one.
+struct UpstreamProbed
+{
+    std::string upstream_;
+    std::uint64_t digest_ = 0; ///< of the request that ran there
+    bool reachable_ = false;
+};
+
+using DirectEvent = std::variant<UpstreamProbed, DirectCall, RunEnded, RunStarted, CallerGone,
+                                 PeerMessage, PeerLost, ViewChanged, Wake>;
 
 /// @brief Send the request to an upstream.
 struct StartRun
@@ -115,6 +123,13 @@
     std::uint64_t token_ = 0;
 };
 
+/// @brief Find out whether an upstream still takes connections.
+struct ProbeUpstream
+{
+    Upstream upstream_;
+    std::uint64_t digest_ = 0; ///< returned with the answer
+};
+
 /// @brief The request is over; nothing more comes for it.
 struct DirectEnded
 {
@@ -122,8 +137,9 @@
     std::string outcome_;
 };
 
-using DirectEffect = std::variant<StartRun, StopRun, DeliverHeld, RefuseCall, AbortCall,
-                                  DirectEnded, SubmitProposal, SendToPeer, DecisionLine>;
+using DirectEffect =
+    std::variant<StartRun, StopRun, DeliverHeld, RefuseCall, AbortCall, DirectEnded, SubmitProposal,
+                 ProbeUpstream, SendToPeer, DecisionLine>;
 using DirectEffects = std::vector<DirectEffect>;
 
 /// @brief Settings of the reducer.
--- a/packages/decision/src/control/control.cpp
+++ b/packages/decision/src/control/control.cpp
@@ -8,6 +8,7 @@
 
 constexpr auto sweepInterval = milliseconds(250);
 constexpr nanoseconds proposalPatience = seconds(1);
+constexpr nanoseconds suspectLifetime = seconds(60); // several restarts of an upstream
 constexpr auto stopLimit = seconds(2);
 constexpr nanoseconds shareLease = seconds(10); // outlasts a change of leader
 constexpr nanoseconds shareGrace = seconds(1); // clock rates differ a little between VMs
@@ -288,11 +289,36 @@
     effects.push_back(SendToPeer{peer, reply});
 }
 
+// Crashes without another one for a while were a coincidence: an upstream fails for many reasons.
+void forgetSuspects(ControlState &state, Instant now, WallTime wall, ControlEffects &effects)
+{
+    std::vector<std::uint64_t> cleared;
+    for (const Suspect &suspect : state.fleet_.view_.suspects_) {
+        if (suspect.refused_)
+            continue;
+        auto &[crashes, seenAt] = state.suspects_[suspect.digest_];
+        if (crashes != suspect.crashes_) {
+            crashes = suspect.crashes_;
+            seenAt = now;
+        } else if (now - seenAt > suspectLifetime) {
+            cleared.push_back(suspect.digest_);
+        }
+    }
+    for (const std::uint64_t digest : cleared) {
+        state.suspects_.erase(digest);
+        effects.push_back(DecisionLine{"decision=suspect_cleared digest=" + std::to_string(digest)
+                                       + " reason=no_further_crash"});
+        proposeInternal(state, now, wall, ClearSuspect{digest}, effects);
+    }
+}
+
 void sweepLeases(ControlState &state, Instant now, WallTime wall, ControlEffects &effects)
 {
     if (now < state.sweepAt_)
         return;
     state.sweepAt_ = now + sweepInterval;
+    if (leads(state.consensus_))
+        forgetSuspects(state, now, wall, effects);
     const nanoseconds lease = state.settings_.nodeLease_;
     std::vector<RemoveUpstream> expired;
     for (const Upstream &upstream : state.fleet_.view_.upstreams_) {
--- a/packages/decision/src/direct/direct.cpp
+++ b/packages/decision/src/direct/direct.cpp
@@ -329,16 +329,28 @@
     giveUp(state, now, event.token_, fullRetry, "upstreams_full", effects);
 }
 
-// A connection that breaks before an answer may be the request's doing: the crash is counted for
-// all entries. A request that ends well clears itself.
-void reportCrash(const DirectState &state, const DirectRequest &request, DirectEffects &effects)
+// A connection that breaks before an answer may be the request's doing, if the upstream is down
+// then: one that only lost an answer takes connections on.
+void suspectCrash(const DirectState &state, const DirectRequest &request, DirectEffects &effects)
 {
     const Suspect *known = findSuspect(state, request.digest_);
     addLine(effects, request, "crash",
             "upstream=" + request.upstream_ + " digest=" + std::to_string(request.digest_)
                 + " crashes_before=" + std::to_string(known ? known->crashes_ : 0));
-    effects.push_back(
-        SubmitProposal{0, ReportCrash{request.digest_, request.upstream_, false}, crashPatience});
+    const auto upstream = state.table_->upstreams_.find(request.upstream_);
+    if (upstream != state.table_->upstreams_.end())
+        effects.push_back(ProbeUpstream{*upstream->second, request.digest_});
+}
+
+// Counts a crash for all entries. A request that ends well clears its count.
+void onUpstreamProbed(const UpstreamProbed &event, DirectEffects &effects)
+{
+    effects.push_back(DecisionLine{"decision=crash_checked upstream=" + event.upstream_
+                                   + " digest=" + std::to_string(event.digest_)
+                                   + " reachable=" + (event.reachable_ ? "true" : "false")});
+    if (!event.reachable_)
+        effects.push_back(
+            SubmitProposal{0, ReportCrash{event.digest_, event.upstream_, false}, crashPatience});
 }
 
 void clearIfSuspect(const DirectState &state, const DirectRequest &request, DirectEffects &effects)
@@ -357,7 +369,7 @@
             "upstream=" + request.upstream_ + " took_ms=" + text(now - request.startedAt_)
                 + " last_event=" + request.lastEventId_ + " detail=" + event.detail_);
     if (event.end_ == RunEnd::Failed && event.status_ == 0)
-        reportCrash(state, request, effects);
+        suspectCrash(state, request, effects);
     const bool allowed = repeatable(request) && request.maybeRan_ < request.route_->maxAttempts_;
     if (allowed && mayRepeat(state, now, request)) {
         sendAgain(state, now, event.token_, true, effects);
@@ -578,6 +590,7 @@
 {
     std::visit(Overloaded{
                    [&](const DirectCall &e) { onCall(state, now, e, effects); },
+                   [&](const UpstreamProbed &e) { onUpstreamProbed(e, effects); },
                    [&](const RunEnded &e) { onRunEnded(state, now, e, effects); },
                    [&](const RunStarted &e) { onRunStarted(state, e, effects); },
                    [&](const CallerGone &e) { onCallerGone(state, now, e.token_, effects); },
--- a/packages/server/include/chervilspring/detail/net/run_client.hpp
+++ b/packages/server/include/chervilspring/detail/net/run_client.hpp
@@ -34,6 +34,10 @@
     /// @brief Gives the caller the answer that waits.
     void deliver(std::uint64_t token, std::uint32_t attempt, const DirectExchangePointer &exchange);
 
+    /// @brief Finds out whether an upstream takes connections.
+    /// @param done called with the answer, never from within this call
+    void probe(const Upstream &upstream, std::function<void(bool reachable)> done);
+
     /// @brief Connections opened since the start.
     std::uint64_t opened() const { return opened_; }
 
@@ -45,6 +49,8 @@
     using RunPointer = std::shared_ptr<Run>;
     using RunKey = std::pair<std::uint64_t, std::uint32_t>;
 
+    boost::asio::awaitable<void> tryConnect(Upstream upstream,
+                                            std::function<void(bool reachable)> done);
     boost::asio::awaitable<void> perform(RunPointer run);
     boost::asio::awaitable<RunEnded> attempt(RunPointer run);
     boost::asio::awaitable<bool> connect(RunPointer run, RunEnded &end);
--- a/packages/server/src/direct_thread.cpp
+++ b/packages/server/src/direct_thread.cpp
@@ -142,6 +142,13 @@
                                exchange->abort();
                        },
                        [&](const DirectEnded &e) { release(e.token_, e.outcome_); },
+                       [&](const ProbeUpstream &e) {
+                           client_.probe(e.upstream_,
+                                         [this, name = e.upstream_.name_,
+                                          digest = e.digest_](bool reachable) {
+                                             handle(UpstreamProbed{name, digest, reachable});
+                                         });
+                       },
                        [&](SubmitProposal &e) { node_.post(std::move(e)); },
                        [&](const SendToPeer &e) { network_.send(e.peer_, e.message_); },
                        [](const DecisionLine &e) { writeLog(LogLevel::Info, e.text_); },
--- a/packages/server/src/run_client.cpp
+++ b/packages/server/src/run_client.cpp
@@ -181,6 +181,23 @@
     held_.erase(found);
 }
 
+void RunClient::probe(const Upstream &upstream, std::function<void(bool reachable)> done)
+{
+    asio::co_spawn(context_, tryConnect(upstream, std::move(done)), asio::detached);
+}
+
+asio::awaitable<void> RunClient::tryConnect(Upstream upstream,
+                                            std::function<void(bool reachable)> done)
+{
+    beast::tcp_stream stream(context_);
+    stream.expires_after(connectLimit);
+    boost::system::error_code error;
+    co_await stream.async_connect(
+        tcp::endpoint(asio::ip::make_address(upstream.agentAddress_), upstream.agentPort_),
+        asio::redirect_error(use_awaitable, error));
+    done(!error);
+}
+
 asio::awaitable<void> RunClient::perform(RunPointer run)
 {
     // The owner's reducer is never called from within its own effect.
