Have all entries choose the same scheduler while no leader is known

After each loss the entries fell back to different control processes, and went back to the dead leader a second later because nobody had named another one: three schedulers called the same stage upstreams at once from 11.2 s to 15.7 s (503 and calls of 1.2 to 1.6 s), with calls a third full. Ruled out: a slow stage upstream (its calls were fast before and after).

A lost leader is forgotten until it is named again; without one the first control process by name that can be reached is asked. Test failed first: entries_without_a_leader_choose_the_same_scheduler.

--- a/packages/decision/src/direct/direct.cpp
+++ b/packages/decision/src/direct/direct.cpp
@@ -121,12 +121,14 @@
     return lost != state.lostSchedulers_.end() && now - lost->second < lostSchedulerPause;
 }
 
-// The leader of the control processes, or another one while it can't be reached.
+// The leader of the control processes. While none is known, the first one by name that can be
+// reached: all entries choose the same one, so that calls are still filled across entries.
 std::string chooseScheduler(const DirectState &state, Instant now)
 {
     if (!state.leader_.empty() && !recentlyLost(state, state.leader_, now))
         return state.leader_;
-    for (const std::string &name : state.controlNames_) {
+    const std::set<std::string> names(state.controlNames_.begin(), state.controlNames_.end());
+    for (const std::string &name : names) {
         if (!recentlyLost(state, name, now))
             return name;
     }
@@ -515,6 +517,8 @@
 void onPeerLost(DirectState &state, Instant now, const std::string &peer, DirectEffects &effects)
 {
     state.lostSchedulers_[peer] = now;
+    if (state.leader_ == peer)
+        state.leader_.clear(); // until it is named again, or its successor
     effects.push_back(DecisionLine{"decision=dependency_lost peer=" + peer});
     for (auto &[token, request] : state.requests_) {
         if (request.scheduler_ != peer)
@@ -525,11 +529,12 @@
     }
 }
 
-void onView(DirectState &state, const ViewChanged &event, DirectEffects &effects)
+void onView(DirectState &state, Instant now, const ViewChanged &event, DirectEffects &effects)
 {
     state.share_ = event.share_;
     state.shareExpires_ = event.shareExpires_;
-    if (!event.leader_.empty() && event.leader_ != state.leader_) {
+    const bool named = !event.leader_.empty() && !recentlyLost(state, event.leader_, now);
+    if (named && event.leader_ != state.leader_) {
         effects.push_back(
             DecisionLine{"decision=leader leader=" + event.leader_ + " was=" + state.leader_});
         state.leader_ = event.leader_;
@@ -596,7 +601,7 @@
                    [&](const CallerGone &e) { onCallerGone(state, now, e.token_, effects); },
                    [&](const PeerMessage &e) { onPeerMessage(state, now, e, effects); },
                    [&](const PeerLost &e) { onPeerLost(state, now, e.peer_, effects); },
-                   [&](const ViewChanged &e) { onView(state, e, effects); },
+                   [&](const ViewChanged &e) { onView(state, now, e, effects); },
                    [](const Wake &) {},
                },
                event);
--- a/packages/decision/tests/unit-direct.cpp
+++ b/packages/decision/tests/unit-direct.cpp
@@ -319,6 +319,31 @@
             .empty());
 }
 
+// Entries that lose the leader at different moments and list the others in different orders still
+// meet at one scheduler, and don't go back to the lost one before it is named again.
+BOOST_AUTO_TEST_CASE(entries_without_a_leader_choose_the_same_scheduler)
+{
+    std::set<std::string> chosen;
+    for (const auto &names : {std::vector<std::string>{"c1", "c3", "c2"},
+                              std::vector<std::string>{"c3", "c2", "c1"}}) {
+        Bench bench;
+        ViewChanged view;
+        view.view_ = testView();
+        view.leader_ = "c1";
+        view.controlNames_ = names;
+        bench.handle(view);
+        bench.handle(PeerLost{"c1"});
+        bench.handle(view); // the control thread hasn't noticed yet
+        bench.now_ += seconds(3);
+        for (const SendToPeer &sent : only<SendToPeer>(bench.call("stream", 1 + chosen.size())))
+            chosen.insert(sent.peer_);
+        bench.handle(PeerLost{"c2"});
+        for (const SendToPeer &sent : only<SendToPeer>(bench.call("stream", 9)))
+            BOOST_TEST(sent.peer_ == "c1"); // the first that may be back
+    }
+    BOOST_TEST(chosen.size() == 1u);
+}
+
 // Random ends, losses and departures: whatever comes, an attempt that may not run twice doesn't, a
 // promise is true, and each request gets one end.
 BOOST_DATA_TEST_CASE(seeded_sessions_keep_the_promises, data::xrange(1, 201), seed)
