Count room until it is heard free, split only what never fits whole, bound idle connections

Connections are kept only after requests that may be repeated, and at most half of this entry's share. Room: a stage call overtook the word that a result may go; given back room counts 10 ms longer. A request that waits for room isn't split any more unless it never fits whole.

--- a/packages/decision/include/chervilspring/detail/scheduler/piece_plan.hpp
+++ b/packages/decision/include/chervilspring/detail/scheduler/piece_plan.hpp
@@ -172,13 +172,14 @@
 
 /// @brief Takes the pieces of the next call out of the ready ones.
 ///
-/// The most urgent request goes first. Of the others only those are taken whose pieces all fit: a
-/// request that is split over calls holds room for its first results until the last one is made.
+/// Only requests whose pieces all fit are taken: one that is split over calls holds room for its
+/// first results until the last one is made. The most urgent one is split if it never fits whole.
 /// @param ready sorted by goesBefore(); what is taken is removed
 /// @param batch most pieces of a call
-/// @param room bytes that the upstream has for results
+/// @param room bytes that the upstream has for results now
+/// @param wholeRoom bytes that it has when nothing is held
 std::vector<ReadyPiece> takeForCall(std::vector<ReadyPiece> &ready, std::size_t batch,
-                                    std::uint64_t room);
+                                    std::uint64_t room, std::uint64_t wholeRoom);
 
 /// @brief Whether any piece of a request is being made or done.
 bool hasBegun(const Job &job);
@@ -189,6 +190,9 @@
 /// @brief Bytes that a stage upstream has free for further results.
 std::uint64_t freeRoom(const StageUpstream &upstream, const PieceCapacity &capacity, Instant now);
 
+/// @brief Notes that a result is given back; its room counts until the upstream has heard of it.
+void giveBack(StageUpstream &upstream, const std::string &handle, Instant now);
+
 /// @brief Notes that an upstream had no room: others use it too, or results are larger than said.
 void noteNoRoom(StageUpstream &upstream, Instant now);
 
--- a/packages/decision/src/direct/direct.cpp
+++ b/packages/decision/src/direct/direct.cpp
@@ -172,9 +172,23 @@
     if (!before.empty() && before != scheduler)
         effects.push_back(
             SendToPeer{before, PlanEnd{request.call_.id_, request.round_, false, "moved"}});
+    addLine(effects, request, "plan",
+            "scheduler=" + scheduler + " round=" + std::to_string(request.round_)
+                + " until_objective_ms="
+                + text(request.arrivedAt_ + request.route_->objective_ - now)
+                + " until_end_ms=" + text(request.endAt_ - now));
     effects.push_back(SendToPeer{scheduler, makePlanRequest(request, now, remake)});
 }
 
+// This entry's part of the connections that an upstream takes from all callers together.
+std::uint32_t connectionShare(const DirectState &state, const Pool &pool, Instant now)
+{
+    if (pool.connectionLimit_ == 0 || state.shareExpires_ <= now)
+        return pool.connectionLimit_;
+    const std::uint64_t part = std::uint64_t{pool.connectionLimit_} * state.share_ / wholeShare;
+    return static_cast<std::uint32_t>(std::max<std::uint64_t>(1, part));
+}
+
 void startRun(DirectState &state, Instant now, DirectRequest &request, const Upstream &upstream,
               std::vector<std::string> inputs, DirectEffects &effects)
 {
@@ -202,7 +216,7 @@
         request.lastEventId_.empty() ? request.call_.lastEventId_ : request.lastEventId_;
     run.priority_ = request.priority_;
     run.gapLimit_ = run.streaming_ && run.repeatable_ ? resumeSilence : nanoseconds(0);
-    run.connectionLimit_ = pool ? pool->connectionLimit_ : 0;
+    run.connectionLimit_ = pool ? connectionShare(state, *pool, now) : 0;
     addLine(effects, request, "route",
             "route=" + route.name_ + " pool=" + request.pool_ + " upstream=" + upstream.name_
                 + " open=" + std::to_string(state.upstreams_[upstream.name_].open_)
@@ -535,7 +549,8 @@
 {
     state.share_ = event.share_;
     state.shareExpires_ = event.shareExpires_;
-    const bool named = !event.leader_.empty() && !recentlyLost(state, event.leader_, lostLeaderPause, now);
+    const bool named =
+        !event.leader_.empty() && !recentlyLost(state, event.leader_, lostLeaderPause, now);
     if (named && event.leader_ != state.leader_) {
         effects.push_back(
             DecisionLine{"decision=leader leader=" + event.leader_ + " was=" + state.leader_});
--- a/packages/decision/src/scheduler/piece_plan.cpp
+++ b/packages/decision/src/scheduler/piece_plan.cpp
@@ -7,10 +7,11 @@
 
 namespace {
 
+constexpr nanoseconds freeLag = milliseconds(10); // until an upstream has heard that it may free
 constexpr nanoseconds fullPause = milliseconds(150); // less than a call: results go meanwhile
 constexpr double roomDecrease = 0.9; // multiplicative, as for congestion windows
 constexpr double roomIncrease = 0.005; // for each call that found room
-constexpr double leastUsableRoom = 0.5;
+constexpr double leastUsableRoom = 0.8;
 
 constexpr nanoseconds costOfCrossing = milliseconds(400); // per MB: links are shared and priced
 constexpr double bytesPerMb = 1e6;
@@ -190,7 +191,7 @@
 }
 
 std::vector<ReadyPiece> takeForCall(std::vector<ReadyPiece> &ready, std::size_t batch,
-                                    std::uint64_t room)
+                                    std::uint64_t room, std::uint64_t wholeRoom)
 {
     std::vector<ReadyPiece> taken;
     std::vector<ReadyPiece> left;
@@ -205,8 +206,10 @@
         const std::size_t fitting =
             bytes == 0 ? places : std::min<std::size_t>(places, room / bytes);
         const std::size_t wanted = end - begin;
+        const bool neverWhole = wanted > batch || wanted * bytes > wholeRoom;
+        const bool split = taken.empty() && neverWhole;
         const std::size_t count =
-            taken.empty() ? std::min(fitting, wanted) : (wanted <= fitting ? wanted : 0);
+            split ? std::min(fitting, wanted) : (wanted <= fitting ? wanted : 0);
         for (std::size_t i = begin; i < end; ++i)
             (i < begin + count ? taken : left).push_back(std::move(ready[i]));
         room -= bytes * count;
@@ -230,6 +233,14 @@
     return usable > used ? usable - used : 0;
 }
 
+void giveBack(StageUpstream &upstream, const std::string &handle, Instant now)
+{
+    const auto found = upstream.held_.find(handle);
+    if (found != upstream.held_.end())
+        found->second.expiresAt_ = std::min(found->second.expiresAt_, now + freeLag);
+    std::erase_if(upstream.held_, [&](const auto &item) { return item.second.expiresAt_ <= now; });
+}
+
 void noteNoRoom(StageUpstream &upstream, Instant now)
 {
     upstream.fullUntil_ = now + fullPause;
--- a/packages/decision/src/scheduler/scheduler.cpp
+++ b/packages/decision/src/scheduler/scheduler.cpp
@@ -64,7 +64,7 @@
 }
 
 // Gives results back, grouped by the upstream that holds them.
-void freeStage(SchedulerState &state, StageWork &stage, SchedulerEffects &effects)
+void freeStage(SchedulerState &state, Instant now, StageWork &stage, SchedulerEffects &effects)
 {
     if (stage.freed_ || stage.pieces_.empty())
         return;
@@ -77,20 +77,20 @@
     for (auto &[name, list] : handles) {
         StageUpstream &maker = state.stageUpstreams_[name];
         for (const std::string &handle : list)
-            maker.held_.erase(handle);
+            giveBack(maker, handle, now);
         if (const Upstream *upstream = findUpstream(state, name))
             effects.push_back(FreeResults{*upstream, std::move(list)});
     }
 }
 
-void freeAll(SchedulerState &state, Job &job, SchedulerEffects &effects)
+void freeAll(SchedulerState &state, Instant now, Job &job, SchedulerEffects &effects)
 {
     for (StageWork &stage : job.stages_)
-        freeStage(state, stage, effects);
+        freeStage(state, now, stage, effects);
 }
 
 // Results that only stages need which are done by now.
-void freeConsumed(SchedulerState &state, Job &job, SchedulerEffects &effects)
+void freeConsumed(SchedulerState &state, Instant now, Job &job, SchedulerEffects &effects)
 {
     for (std::size_t stage = 0; stage < job.stages_.size(); ++stage) {
         if (isFinal(job, stage) || !stageDone(job.stages_[stage]))
@@ -102,7 +102,7 @@
                     && !stageDone(other);
             });
         if (!needed)
-            freeStage(state, job.stages_[stage], effects);
+            freeStage(state, now, job.stages_[stage], effects);
     }
 }
 
@@ -123,7 +123,7 @@
     job.engine_.clear();
 }
 
-void refuse(SchedulerState &state, const JobId &id, nanoseconds retryAfter,
+void refuse(SchedulerState &state, Instant now, const JobId &id, nanoseconds retryAfter,
             const std::string &reason, SchedulerEffects &effects)
 {
     const auto found = state.jobs_.find(id);
@@ -133,7 +133,7 @@
     addLine(effects, job, "refuse reason=" + reason + " retry_after_ms=" + text(retryAfter));
     effects.push_back(SendToPeer{
         id.entry_, PlanRefusal{job.request_.id_, job.request_.round_, retryAfter, reason}});
-    freeAll(state, job, effects);
+    freeAll(state, now, job, effects);
     state.jobs_.erase(found);
 }
 
@@ -317,7 +317,7 @@
             return goesBefore(a, b, upstream->dataCenter_);
         });
         const std::uint64_t room = freeRoom(state.stageUpstreams_[upstream->name_], capacity, now);
-        const auto pieces = takeForCall(ready, capacity.batch_, room);
+        const auto pieces = takeForCall(ready, capacity.batch_, room, capacity.resultBytes_);
         if (!pieces.empty())
             startCall(state, now, pool, capacity, *upstream, pieces, effects);
     }
@@ -379,7 +379,7 @@
     if (!hopeless && (!crowdedOut || worthWaiting))
         return false;
     const nanoseconds clear = std::max(shortestRetry, predicted - alone);
-    refuse(state, id, clear,
+    refuse(state, now, id, clear,
            std::string(hopeless ? "deadline" : "objective") + " predicted_ms=" + text(predicted)
                + " alone_ms=" + text(alone),
            effects);
@@ -451,7 +451,7 @@
     }
     Job &job = found->second;
     if (!poolsServed(state, job)) {
-        refuse(state, id, noEngineRetry, "no_upstream", effects);
+        refuse(state, now, id, noEngineRetry, "no_upstream", effects);
         return;
     }
     EngineCost cost;
@@ -463,14 +463,14 @@
     dispatch(state, now, effects);
 }
 
-void onPlanStarted(SchedulerState &state, const std::string &peer, const PlanStarted &started,
-                   SchedulerEffects &effects)
+void onPlanStarted(SchedulerState &state, Instant now, const std::string &peer,
+                   const PlanStarted &started, SchedulerEffects &effects)
 {
     const auto found = state.jobs_.find(JobId{peer, started.id_});
     if (found == state.jobs_.end() || found->second.request_.round_ != started.round_)
         return;
     promptRead(state.engines_[found->second.engine_], started.id_);
-    freeAll(state, found->second, effects);
+    freeAll(state, now, found->second, effects);
 }
 
 void onPlanEnd(SchedulerState &state, Instant now, const std::string &peer, const PlanEnd &end,
@@ -480,7 +480,7 @@
     if (found == state.jobs_.end())
         return;
     leaveEngine(state, now, found->second, !end.served_ && end.detail_ == "engine_failed");
-    freeAll(state, found->second, effects);
+    freeAll(state, now, found->second, effects);
     state.jobs_.erase(found);
 }
 
@@ -559,10 +559,10 @@
                                    [](const Piece &p) { return p.failures_ >= maxPieceFailures; });
             });
         if (hopeless) {
-            refuse(state, id, noEngineRetry, "stage_failed", effects);
+            refuse(state, now, id, noEngineRetry, "stage_failed", effects);
             continue;
         }
-        freeConsumed(state, job, effects);
+        freeConsumed(state, now, job, effects);
         tryGrant(state, now, id, job, effects);
     }
 }
@@ -650,7 +650,8 @@
     });
 }
 
-void onPeerLost(SchedulerState &state, const std::string &peer, SchedulerEffects &effects)
+void onPeerLost(SchedulerState &state, Instant now, const std::string &peer,
+                SchedulerEffects &effects)
 {
     std::vector<JobId> dropped;
     for (const auto &[id, job] : state.jobs_) {
@@ -659,7 +660,7 @@
     }
     for (const JobId &id : dropped) {
         addLine(effects, state.jobs_.at(id), "drop reason=entry_lost entry=" + peer);
-        freeAll(state, state.jobs_.at(id), effects);
+        freeAll(state, now, state.jobs_.at(id), effects);
         state.jobs_.erase(id);
     }
 }
@@ -675,7 +676,7 @@
     for (auto &[id, job] : state.jobs_) {
         if (job.granted_) {
             if (now > job.grantedAt_ + inputFetchTime)
-                freeAll(state, job, effects);
+                freeAll(state, now, job, effects);
             if (now > job.deadlineAt_ + forgetAfter)
                 forgotten.push_back(id);
             continue;
@@ -686,10 +687,10 @@
             tryGrant(state, now, id, job, effects);
     }
     for (const JobId &id : expired)
-        refuse(state, id, shortestRetry, "deadline", effects);
+        refuse(state, now, id, shortestRetry, "deadline", effects);
     for (const JobId &id : forgotten) {
         leaveEngine(state, now, state.jobs_.at(id), false);
-        freeAll(state, state.jobs_.at(id), effects);
+        freeAll(state, now, state.jobs_.at(id), effects);
         state.jobs_.erase(id);
     }
     dispatch(state, now, effects);
@@ -701,7 +702,7 @@
     std::visit(
         Overloaded{
             [&](const PlanRequest &m) { onPlanRequest(state, now, event.peer_, m, effects); },
-            [&](const PlanStarted &m) { onPlanStarted(state, event.peer_, m, effects); },
+            [&](const PlanStarted &m) { onPlanStarted(state, now, event.peer_, m, effects); },
             [&](const PlanEnd &m) {
                 onPlanEnd(state, now, event.peer_, m, effects);
                 dispatch(state, now, effects);
@@ -724,7 +725,7 @@
 {
     std::visit(Overloaded{
                    [&](const PeerMessage &e) { onPeerMessage(state, now, e, effects); },
-                   [&](const PeerLost &e) { onPeerLost(state, e.peer_, effects); },
+                   [&](const PeerLost &e) { onPeerLost(state, now, e.peer_, effects); },
                    [&](const StageCallEnded &e) { onCallEnded(state, now, e, effects); },
                    [&](const SchedulerView &e) {
                        takeView(state, e.view_, effects);
--- a/packages/server/src/run_client.cpp
+++ b/packages/server/src/run_client.cpp
@@ -264,7 +264,11 @@
     const bool clean = run->parser_->is_done() && run->parser_->keep_alive() && run->written_
         && run->connection_->buffer_.size() == 0;
     auto &list = idle_[keyOf(run->order_.upstream_)];
-    if (!clean || time <= nanoseconds(0) || list.size() >= maxIdle)
+    // Connections that only take the place of others' are not kept: the upstream counts them all.
+    const std::size_t places = run->order_.connectionLimit_ == 0
+        ? maxIdle
+        : std::min<std::size_t>(maxIdle, run->order_.connectionLimit_ / 2);
+    if (!clean || !run->order_.repeatable_ || time <= nanoseconds(0) || list.size() >= places)
         return;
     run->connection_->usableUntil_ = BootClock::now() + time;
     list.push_back(std::move(run->connection_));
