--- /dev/null
+++ b/packages/decision/include/chervilspring/detail/scheduler/scheduler_steps.hpp
@@ -0,0 +1,65 @@
+/// @file
+/// @brief Parts of the scheduler that its source files share. Not for use elsewhere.
+#pragma once
+
+#include "chervilspring/detail/scheduler/scheduler.hpp"
+
+namespace chervilspring::scheduling {
+
+/// @brief Whole milliseconds as text, for log lines.
+std::string text(nanoseconds time);
+
+/// @brief Finds an upstream of the view.
+/// @return nullptr if the view no longer lists it
+const Upstream *findUpstream(const SchedulerState &state, const std::string &name);
+
+/// @brief What upstreams of a pool offer for pieces.
+/// @return nullptr if the pool does not work on pieces
+const PieceCapacity *piecesOf(const SchedulerState &state, const std::string &pool);
+
+/// @brief Adds a decision line about a request.
+void addLine(SchedulerEffects &effects, const Job &job, const std::string &what);
+
+/// @brief Gives all results of a request back.
+void freeAll(SchedulerState &state, Instant now, Job &job, SchedulerEffects &effects);
+
+/// @brief Gives results back that only stages need which are done by now.
+void freeConsumed(SchedulerState &state, Instant now, Job &job, SchedulerEffects &effects);
+
+/// @brief Has the results of a stage made again.
+void remakeStage(StageWork &stage);
+
+/// @brief Notes that a request no longer runs at its engine.
+void leaveEngine(SchedulerState &state, Instant now, Job &job, bool failed);
+
+/// @brief Refuses a request and gives its results back.
+void refuse(SchedulerState &state, Instant now, const JobId &id, nanoseconds retryAfter,
+            const std::string &reason, SchedulerEffects &effects);
+
+/// @brief The engine with the lowest cost; avoided ones only if there is no other.
+/// @return nullptr if none has a place
+const Upstream *chooseEngine(const SchedulerState &state, const Job &job, Instant now,
+                             EngineCost &chosenCost);
+
+/// @brief Hands a request whose stages are done to an engine.
+void tryGrant(SchedulerState &state, Instant now, const JobId &id, Job &job,
+              SchedulerEffects &effects);
+
+/// @brief Starts calls at idle stage upstreams.
+void dispatch(SchedulerState &state, Instant now, SchedulerEffects &effects);
+
+/// @brief Refuses a new request that the load would make late, as long as it can still come back.
+///
+/// What waits for nobody is taken even if it is late.
+/// @return whether it was refused
+bool refuseLate(SchedulerState &state, Instant now, const JobId &id, const Job &job,
+                SchedulerEffects &effects);
+
+/// @brief Whether every pool that a request needs has an upstream.
+bool poolsServed(const SchedulerState &state, const Job &job);
+
+/// @brief Has results made again that went with their upstream.
+void loseResultsOf(SchedulerState &state, const std::string &upstream, const std::string &reason,
+                   SchedulerEffects &effects);
+
+} // namespace chervilspring::scheduling
--- /dev/null
+++ b/packages/decision/src/scheduler/scheduler_admission.cpp
@@ -0,0 +1,80 @@
+#include "chervilspring/detail/scheduler/scheduler_steps.hpp"
+
+#include <algorithm>
+
+namespace chervilspring::scheduling {
+
+namespace {
+
+constexpr nanoseconds toleratedWait = milliseconds(50); // calls end in steps of this size
+constexpr double returnedShare = 0.5; // of the time left, within which a returned request is kept
+constexpr nanoseconds shortestRetry = milliseconds(100);
+
+// Time for which a pool is taken by what goes before a new request.
+nanoseconds poolWait(const SchedulerState &state, const std::string &pool, const Job &job,
+                     Instant now)
+{
+    const PieceCapacity *capacity = piecesOf(state, pool);
+    const auto list = state.upstreamsByPool_.find(pool);
+    if (!capacity || list == state.upstreamsByPool_.end() || list->second.empty())
+        return nanoseconds(0);
+    double perSecond = 0;
+    for (const std::string &name : list->second) {
+        const auto known = state.stageUpstreams_.find(name);
+        const double slowness =
+            known == state.stageUpstreams_.end() ? 1.0 : known->second.slowness_;
+        const double full =
+            std::chrono::duration<double>(callTime(*capacity, capacity->batch_)).count();
+        perSecond += capacity->batch_ / (full * slowness);
+    }
+    const auto pieces =
+        static_cast<double>(backlogBefore(state.jobs_, pool, job, state.view_->fleet_, now));
+    return nanoseconds(static_cast<std::int64_t>(pieces / perSecond * 1e9));
+}
+
+nanoseconds predictedTime(const SchedulerState &state, const Job &job, Instant now)
+{
+    std::map<std::string, nanoseconds> waits;
+    for (const StageWork &stage : job.stages_) {
+        if (!stage.pieces_.empty() && !waits.contains(stage.pool_))
+            waits[stage.pool_] = poolWait(state, stage.pool_, job, now);
+    }
+    return finishTime(job, state.view_->fleet_, waits);
+}
+
+} // namespace
+
+bool refuseLate(SchedulerState &state, Instant now, const JobId &id, const Job &job,
+                SchedulerEffects &effects)
+{
+    const nanoseconds predicted = predictedTime(state, job, now);
+    const nanoseconds alone = remainingTime(job, state.view_->fleet_);
+    const nanoseconds untilDeadline = job.deadlineAt_ - now;
+    const bool hopeless = predicted > untilDeadline;
+    const bool crowdedOut = now + predicted > job.objectiveAt_ && predicted - alone > toleratedWait;
+    const bool returned = now + alone > job.objectiveAt_; // late before it came
+    const bool worthWaiting =
+        returned && predicted.count() < static_cast<double>(untilDeadline.count()) * returnedShare;
+    if (!hopeless && (!crowdedOut || worthWaiting))
+        return false;
+    const nanoseconds clear = std::max(shortestRetry, predicted - alone);
+    refuse(state, now, id, clear,
+           std::string(hopeless ? "deadline" : "objective") + " predicted_ms=" + text(predicted)
+               + " alone_ms=" + text(alone),
+           effects);
+    return true;
+}
+
+bool poolsServed(const SchedulerState &state, const Job &job)
+{
+    const auto served = [&](const std::string &pool) {
+        const auto list = state.upstreamsByPool_.find(pool);
+        return list != state.upstreamsByPool_.end() && !list->second.empty();
+    };
+    return served(job.request_.pool_)
+        && std::all_of(job.stages_.begin(), job.stages_.end(), [&](const StageWork &stage) {
+               return stage.pieces_.empty() || served(stage.pool_);
+           });
+}
+
+} // namespace chervilspring::scheduling
--- /dev/null
+++ b/packages/decision/src/scheduler/scheduler_common.cpp
@@ -0,0 +1,43 @@
+#include "chervilspring/detail/scheduler/scheduler_steps.hpp"
+
+#include <algorithm>
+
+namespace chervilspring::scheduling {
+
+std::string text(nanoseconds time)
+{
+    return std::to_string(time / milliseconds(1));
+}
+
+const Upstream *findUpstream(const SchedulerState &state, const std::string &name)
+{
+    return findByName(state.view_->upstreams_, name);
+}
+
+const PieceCapacity *piecesOf(const SchedulerState &state, const std::string &pool)
+{
+    const Pool *found = findByName(state.view_->fleet_.pools_, pool);
+    return found && found->pieces_ ? &*found->pieces_ : nullptr;
+}
+
+void addLine(SchedulerEffects &effects, const Job &job, const std::string &what)
+{
+    effects.push_back(DecisionLine{"decision=" + what + " request=" + job.request_.id_
+                                   + " round=" + std::to_string(job.request_.round_)});
+}
+
+void refuse(SchedulerState &state, Instant now, const JobId &id, nanoseconds retryAfter,
+            const std::string &reason, SchedulerEffects &effects)
+{
+    const auto found = state.jobs_.find(id);
+    if (found == state.jobs_.end())
+        return;
+    Job &job = found->second;
+    addLine(effects, job, "refuse reason=" + reason + " retry_after_ms=" + text(retryAfter));
+    effects.push_back(SendToPeer{
+        id.entry_, PlanRefusal{job.request_.id_, job.request_.round_, retryAfter, reason}});
+    freeAll(state, now, job, effects);
+    state.jobs_.erase(found);
+}
+
+} // namespace chervilspring::scheduling
--- /dev/null
+++ b/packages/decision/src/scheduler/scheduler_grant.cpp
@@ -0,0 +1,91 @@
+#include "chervilspring/detail/scheduler/scheduler_steps.hpp"
+
+#include <algorithm>
+
+namespace chervilspring::scheduling {
+
+namespace {
+
+InputBytes inputBytes(const SchedulerState &state, const Job &job)
+{
+    InputBytes bytes;
+    for (std::size_t stage = 0; stage < job.stages_.size(); ++stage) {
+        if (!isFinal(job, stage))
+            continue;
+        for (const Piece &piece : job.stages_[stage].pieces_) {
+            const Upstream *maker = findUpstream(state, piece.upstream_);
+            bytes[maker ? maker->dataCenter_ : std::string()] += job.stages_[stage].resultBytes_;
+        }
+    }
+    return bytes;
+}
+
+} // namespace
+
+void leaveEngine(SchedulerState &state, Instant now, Job &job, bool failed)
+{
+    if (job.engine_.empty())
+        return;
+    endRun(state.engines_[job.engine_], job.request_.id_, failed, now);
+    job.engine_.clear();
+}
+
+const Upstream *chooseEngine(const SchedulerState &state, const Job &job, Instant now,
+                             EngineCost &chosenCost)
+{
+    const auto pool = state.upstreamsByPool_.find(job.request_.pool_);
+    const Pool *spec = findByName(state.view_->fleet_.pools_, job.request_.pool_);
+    if (pool == state.upstreamsByPool_.end() || !spec || !spec->engine_)
+        return nullptr;
+    const InputBytes inputs = inputBytes(state, job);
+    const Upstream *chosen = nullptr;
+    bool chosenAvoided = true;
+    static const Engine unknown;
+    for (const std::string &name : pool->second) {
+        const Upstream *upstream = findUpstream(state, name);
+        if (!upstream)
+            continue;
+        const auto known = state.engines_.find(name);
+        const Engine &engine = known == state.engines_.end() ? unknown : known->second;
+        const EngineCost cost =
+            weighEngine(engine, *upstream, *spec->engine_, job.request_, inputs, now);
+        if (cost.full_)
+            continue;
+        const auto &avoid = job.request_.avoid_;
+        const bool avoided =
+            engine.avoidUntil_ > now || std::find(avoid.begin(), avoid.end(), name) != avoid.end();
+        const bool better = !chosen || (chosenAvoided && !avoided)
+            || (chosenAvoided == avoided && isBetter(cost, chosenCost));
+        if (!better)
+            continue;
+        chosen = upstream;
+        chosenAvoided = avoided;
+        chosenCost = cost;
+    }
+    return chosen;
+}
+
+void tryGrant(SchedulerState &state, Instant now, const JobId &id, Job &job,
+              SchedulerEffects &effects)
+{
+    if (job.granted_ || !allDone(job))
+        return;
+    EngineCost cost;
+    const Upstream *upstream = chooseEngine(state, job, now, cost);
+    if (!upstream)
+        return; // asked again with each sweep
+    job.granted_ = true;
+    job.grantedAt_ = now;
+    job.engine_ = upstream->name_;
+    startRun(state.engines_[upstream->name_], job.request_, cost, now);
+    addLine(effects, job,
+            "grant upstream=" + upstream->name_ + " unread_tokens="
+                + std::to_string(cost.unreadTokens_) + " wait_ms=" + text(cost.wait_)
+                + " crossing_bytes=" + std::to_string(cost.crossingBytes_) + " stages_ms="
+                + text(now - job.arrivedAt_) + " view=" + std::to_string(state.view_->version_));
+    effects.push_back(SendToPeer{id.entry_,
+                                 PlanGrant{job.request_.id_, job.request_.round_, upstream->name_,
+                                           upstream->agentBoot_, finalHandles(job)}});
+}
+
+} // namespace chervilspring::scheduling
--- a/packages/server/src/run_client.cpp
+++ b/packages/server/src/run_client.cpp
@@ -28,7 +28,6 @@
 constexpr std::size_t readBytes = 16384;
 constexpr std::size_t maxHeldAnswer = 8u << 20; // bytes of an answer that isn't a stream
 constexpr unsigned statusOk = 200;
-constexpr unsigned successClass = 2;
 constexpr std::string_view eventStream = "text/event-stream";
 
 std::string keyOf(const Upstream &upstream)
