--- a/Makefile
+++ b/Makefile
@@ -17,7 +17,7 @@
 build: configure
 	cmake --build $(BUILD)
 
-test: build
+test: install-packages build
 	ctest --test-dir $(BUILD) --output-on-failure
 
 demo: install-packages build
