Keep figures out of metric labels; don't blame an engine for inputs that are gone; avoidance in one place

Outcomes of requests carried figures ("objective predicted_ms=1507 ..."), which became labels of counters and histograms: a time series for each refused request, without bound. PlanRefusal and the entry's endings have a word and a detail now. A request whose inputs were gone made its engine avoided for 400 ms and put it on its avoid list, so that the prompt was read again elsewhere. PlanEnd said that an engine failed by a text that was compared; it has a flag. The pause after failures stood three times, milliseconds as text twice.

Both tests failed on the code before: reason_of_a_refusal_is_a_word and engine_is_avoided_after_a_failure_but_not_for_inputs_that_are_gone.

--- a/packages/core/include/chervilspring/messages.hpp
+++ b/packages/core/include/chervilspring/messages.hpp
@@ -571,9 +571,10 @@
     std::string id_;
     std::uint32_t round_ = 0;
     nanoseconds retryAfter_{0}; ///< when it probably can be served
-    std::string reason_;
+    std::string reason_; ///< one word of a small set, for metrics and callers
+    std::string detail_; ///< figures for the log
 };
-BOOST_DESCRIBE_STRUCT(PlanRefusal, (), (id_, round_, retryAfter_, reason_))
+BOOST_DESCRIBE_STRUCT(PlanRefusal, (), (id_, round_, retryAfter_, reason_, detail_))
 
 /// @brief The model engine has fetched the inputs and read the prompt of a granted request.
 struct PlanStarted
@@ -590,8 +591,9 @@
     std::uint32_t round_ = 0;
     bool served_ = false;
     std::string detail_;
+    bool engineFailed_ = false; ///< the model engine broke off, or gave no answer in time
 };
-BOOST_DESCRIBE_STRUCT(PlanEnd, (), (id_, round_, served_, detail_))
+BOOST_DESCRIBE_STRUCT(PlanEnd, (), (id_, round_, served_, detail_, engineFailed_))
 
 /// @brief Everything that can stand in a frame. New alternatives go at the end.
 using Message = std::variant<Dispatch, Inquire, Cancel, AttemptResult, StreamChunk, AttemptState,
--- a/packages/core/include/chervilspring/time.hpp
+++ b/packages/core/include/chervilspring/time.hpp
@@ -4,6 +4,7 @@
 
 #include <chrono>
 #include <ctime>
+#include <string>
 
 namespace chervilspring {
 
@@ -34,6 +35,12 @@
     }
 };
 
+/// @brief Whole milliseconds as text, for log lines.
+inline std::string millisecondsText(nanoseconds time)
+{
+    return std::to_string(time / milliseconds(1));
+}
+
 /// @brief A point on the local BootClock. Never sent to another VM.
 using Instant = BootClock::time_point;
 
--- a/packages/core/include/chervilspring/upstream.hpp
+++ b/packages/core/include/chervilspring/upstream.hpp
@@ -15,20 +15,22 @@
 enum class UpstreamPhase : std::uint16_t { Announced, Serving, Leaving, Gone };
 BOOST_DESCRIBE_ENUM(UpstreamPhase, Announced, Serving, Leaving, Gone)
 
-/// @brief An upstream together with the agent beside it. Both share the name.
+/// @brief An upstream together with the agent beside it, or a direct one without an agent.
+///
+/// An agent shares the upstream's name. Of a direct upstream, address, port and boot are its own.
 struct Upstream
 {
     std::string name_;
     std::string dataCenter_;
-    std::string agentAddress_; ///< IP number on which the agent takes dispatches
+    std::string agentAddress_; ///< IP number that takes dispatches, or requests if direct
     std::uint16_t agentPort_ = 0;
-    std::uint64_t agentBoot_ = 0; ///< changes with every start of the agent
+    std::uint64_t agentBoot_ = 0; ///< changes with every start; grows with each one if direct
     std::uint32_t concurrency_ = 1; ///< calls that the upstream takes at once
     UpstreamPhase phase_ = UpstreamPhase::Announced;
     bool drained_ = false; ///< an operator asked it to leave
     Labels labels_; ///< as announced
     Labels operatorLabels_; ///< set by operators; they replace announced ones of the same key
-    bool direct_ = false; ///< has no agent: address and boot are the upstream's own
+    bool direct_ = false; ///< has no agent
     std::uint64_t sequence_ = 0; ///< of the announcement, for direct upstreams
 };
 BOOST_DESCRIBE_STRUCT(Upstream, (),
--- a/packages/decision/include/chervilspring/detail/direct/direct.hpp
+++ b/packages/decision/include/chervilspring/detail/direct/direct.hpp
@@ -114,7 +114,7 @@
     std::uint64_t token_ = 0;
     unsigned status_ = 503;
     nanoseconds retryAfter_{0}; ///< 0: not said
-    std::string reason_;
+    std::string reason_; ///< one word
 };
 
 /// @brief Close the caller's connection: what it has can't be completed.
@@ -134,7 +134,7 @@
 struct DirectEnded
 {
     std::uint64_t token_ = 0;
-    std::string outcome_;
+    std::string outcome_; ///< one word of a small set
 };
 
 using DirectEffect =
--- a/packages/decision/include/chervilspring/detail/direct/upstream_choice.hpp
+++ b/packages/decision/include/chervilspring/detail/direct/upstream_choice.hpp
@@ -5,6 +5,7 @@
 /// here went, and how many are open.
 #pragma once
 
+#include "chervilspring/detail/avoidance.hpp"
 #include "chervilspring/detail/direct/route_table.hpp"
 #include "chervilspring/time.hpp"
 
@@ -16,8 +17,7 @@
     std::uint32_t open_ = 0; ///< runs under way
     nanoseconds usualTime_{0}; ///< moving mean until the end of a run; 0: unknown
     double failureShare_ = 0; ///< moving mean of failed runs
-    std::uint32_t failures_ = 0; ///< in a row
-    Instant avoidUntil_{};
+    Avoidance avoidance_;
 };
 
 using UpstreamTable = std::map<std::string, UpstreamRecord>;
--- a/packages/decision/include/chervilspring/detail/scheduler/engine_plan.hpp
+++ b/packages/decision/include/chervilspring/detail/scheduler/engine_plan.hpp
@@ -6,6 +6,7 @@
 /// stages are large against the rest of a request.
 #pragma once
 
+#include "chervilspring/detail/avoidance.hpp"
 #include "chervilspring/messages.hpp"
 
 #include <deque>
@@ -28,8 +29,7 @@
 {
     std::map<std::string, EngineRun> runs_; ///< by request id
     std::map<std::string, Instant> parts_; ///< prompt chains in memory, by digest; last use
-    Instant avoidUntil_{};
-    std::uint32_t failures_ = 0; ///< in a row
+    Avoidance avoidance_;
 };
 
 using EngineTable = std::map<std::string, Engine>;
--- a/packages/decision/include/chervilspring/detail/scheduler/piece_plan.hpp
+++ b/packages/decision/include/chervilspring/detail/scheduler/piece_plan.hpp
@@ -6,6 +6,7 @@
 /// unless all of them are made.
 #pragma once
 
+#include "chervilspring/detail/avoidance.hpp"
 #include "chervilspring/messages.hpp"
 
 #include <map>
@@ -75,8 +76,8 @@
 struct StageUpstream
 {
     std::uint64_t call_ = 0; ///< call under way, 0: none
-    Instant avoidUntil_{}; ///< after a failure
-    std::uint32_t failures_ = 0; ///< in a row
+    Avoidance avoidance_;
+    Instant busyUntil_{}; ///< it refused a call
     double slowness_ = 1.0; ///< moving mean of measured over expected call time
     std::uint64_t reservedBytes_ = 0; ///< for the call under way
     Instant fullUntil_{}; ///< it had no room for a result
--- a/packages/decision/include/chervilspring/detail/scheduler/scheduler_steps.hpp
+++ b/packages/decision/include/chervilspring/detail/scheduler/scheduler_steps.hpp
@@ -6,9 +6,6 @@
 
 namespace chervilspring::scheduling {
 
-/// @brief Whole milliseconds as text, for log lines.
-std::string text(nanoseconds time);
-
 /// @brief Finds an upstream of the view.
 /// @return nullptr if the view no longer lists it
 const Upstream *findUpstream(const SchedulerState &state, const std::string &name);
@@ -33,8 +30,10 @@
 void leaveEngine(SchedulerState &state, Instant now, Job &job, bool failed);
 
 /// @brief Refuses a request and gives its results back.
+/// @param reason one word of a small set
+/// @param detail figures for the log
 void refuse(SchedulerState &state, Instant now, const JobId &id, nanoseconds retryAfter,
-            const std::string &reason, SchedulerEffects &effects);
+            const std::string &reason, const std::string &detail, SchedulerEffects &effects);
 
 /// @brief The engine with the lowest cost; avoided ones only if there is no other.
 /// @return nullptr if none has a place
--- a/packages/decision/src/direct/direct.cpp
+++ b/packages/decision/src/direct/direct.cpp
@@ -31,10 +31,15 @@
 constexpr std::uint32_t priorityStep = 100; // an account's priority goes before a route's
 constexpr double shareMargin = 0.9; // of the retry budget: entries count in different windows
 
-std::string text(nanoseconds time)
+/// How a request ended.
+struct Ending
 {
-    return std::to_string(time / milliseconds(1));
-}
+    std::string outcome_; ///< one word of a small set, for metrics and callers
+    std::string detail_; ///< figures for the log
+};
+
+/// What a scheduler is told of a request that it planned.
+enum class PlanResult { Served, NotServed, EngineFailed };
 
 RetryLimit retryLimit(const DirectState &state, Instant now)
 {
@@ -66,54 +71,57 @@
                                    + " attempt=" + std::to_string(request.attempt_) + " " + rest});
 }
 
-void tellScheduler(const DirectRequest &request, bool served, const std::string &detail,
+void tellScheduler(const DirectRequest &request, PlanResult result, const std::string &detail,
                    DirectEffects &effects)
 {
     if (request.scheduler_.empty())
         return;
     effects.push_back(
-        SendToPeer{request.scheduler_, PlanEnd{request.call_.id_, request.round_, served, detail}});
+        SendToPeer{request.scheduler_,
+                   PlanEnd{request.call_.id_, request.round_, result == PlanResult::Served, detail,
+                           result == PlanResult::EngineFailed}});
 }
 
 // Removes a request; its end has been decided.
-void finish(DirectState &state, Instant now, std::uint64_t token, const std::string &outcome,
+void finish(DirectState &state, Instant now, std::uint64_t token, const Ending &ending,
             unsigned status, DirectEffects &effects)
 {
     const auto found = state.requests_.find(token);
     const DirectRequest &request = found->second;
     addLine(effects, request, "end",
-            "outcome=" + outcome + " status=" + std::to_string(status) + " route="
-                + request.route_->name_ + " pool=" + request.pool_ + " account=" + request.account_
+            "outcome=" + ending.outcome_ + " " + ending.detail_
+                + " status=" + std::to_string(status) + " route=" + request.route_->name_
+                + " pool=" + request.pool_ + " account=" + request.account_
                 + " upstream=" + request.upstream_ + " runs=" + std::to_string(request.maybeRan_)
-                + " total_ms=" + text(now - request.arrivedAt_)
+                + " total_ms=" + millisecondsText(now - request.arrivedAt_)
                 + " view=" + std::to_string(request.table_->view_->version_));
-    effects.push_back(DirectEnded{token, outcome});
+    effects.push_back(DirectEnded{token, ending.outcome_});
     state.ends_.erase({request.endAt_, token});
     state.tokens_.erase(request.call_.id_);
     state.requests_.erase(found);
 }
 
 void refuse(DirectState &state, Instant now, std::uint64_t token, unsigned status,
-            nanoseconds retryAfter, const std::string &reason, DirectEffects &effects)
+            nanoseconds retryAfter, const Ending &ending, DirectEffects &effects)
 {
     DirectRequest &request = state.requests_.at(token);
     if (request.streamed_)
         effects.push_back(AbortCall{token});
     else
-        effects.push_back(RefuseCall{token, status, retryAfter, reason});
-    finish(state, now, token, reason, status, effects);
+        effects.push_back(RefuseCall{token, status, retryAfter, ending.outcome_});
+    finish(state, now, token, ending, status, effects);
 }
 
 // What the caller is told when there is nowhere else to go. The promise that nothing ran is given
 // only if no upstream may have started.
 void giveUp(DirectState &state, Instant now, std::uint64_t token, nanoseconds retryAfter,
-            const std::string &reason, DirectEffects &effects)
+            const Ending &ending, DirectEffects &effects)
 {
     const DirectRequest &request = state.requests_.at(token);
     if (request.maybeRan_ == 0)
-        refuse(state, now, token, statusUnavailable, retryAfter, reason, effects);
+        refuse(state, now, token, statusUnavailable, retryAfter, ending, effects);
     else
-        refuse(state, now, token, statusBadGateway, nanoseconds(0), reason, effects);
+        refuse(state, now, token, statusBadGateway, nanoseconds(0), ending, effects);
 }
 
 bool recentlyLost(const DirectState &state, const std::string &scheduler, nanoseconds pause,
@@ -171,12 +179,12 @@
     }
     if (!before.empty() && before != scheduler)
         effects.push_back(
-            SendToPeer{before, PlanEnd{request.call_.id_, request.round_, false, "moved"}});
+            SendToPeer{before, PlanEnd{request.call_.id_, request.round_, false, "moved", false}});
     addLine(effects, request, "plan",
             "scheduler=" + scheduler + " round=" + std::to_string(request.round_)
                 + " until_objective_ms="
-                + text(request.arrivedAt_ + request.route_->objective_ - now)
-                + " until_end_ms=" + text(request.endAt_ - now));
+                + millisecondsText(request.arrivedAt_ + request.route_->objective_ - now)
+                + " until_end_ms=" + millisecondsText(request.endAt_ - now));
     effects.push_back(SendToPeer{scheduler, makePlanRequest(request, now, remake)});
 }
 
@@ -220,7 +228,7 @@
     addLine(effects, request, "route",
             "route=" + route.name_ + " pool=" + request.pool_ + " upstream=" + upstream.name_
                 + " open=" + std::to_string(state.upstreams_[upstream.name_].open_)
-                + " remaining_ms=" + text(run.remaining_)
+                + " remaining_ms=" + millisecondsText(run.remaining_)
                 + " view=" + std::to_string(state.table_->view_->version_));
     effects.push_back(std::move(run));
 }
@@ -235,7 +243,7 @@
     const Upstream *upstream =
         chooseUpstream(list, state.upstreams_, request.avoid_, state.random_(), now);
     if (!upstream) {
-        giveUp(state, now, token, noUpstreamRetry, "no_upstream", effects);
+        giveUp(state, now, token, noUpstreamRetry, Ending{"no_upstream"}, effects);
         return;
     }
     startRun(state, now, request, *upstream, {}, effects);
@@ -245,7 +253,6 @@
                DirectEffects &effects)
 {
     DirectRequest &request = state.requests_.at(token);
-    request.avoid_.push_back(request.upstream_);
     if (isPlanned(request))
         askScheduler(state, now, request, remake, effects);
     else
@@ -253,14 +260,14 @@
 }
 
 void refuseUnrouted(const DirectCall &call, unsigned status, nanoseconds retryAfter,
-                    const std::string &reason, const DirectState &state, DirectEffects &effects)
+                    const Ending &ending, const DirectState &state, DirectEffects &effects)
 {
-    effects.push_back(DecisionLine{"decision=end request=" + call.id_ + " outcome=" + reason
-                                   + " status=" + std::to_string(status) + " host=" + call.host_
-                                   + " path=" + call.path_
-                                   + " view=" + std::to_string(state.table_->view_->version_)});
-    effects.push_back(RefuseCall{call.token_, status, retryAfter, reason});
-    effects.push_back(DirectEnded{call.token_, reason});
+    effects.push_back(DecisionLine{
+        "decision=end request=" + call.id_ + " outcome=" + ending.outcome_ + " " + ending.detail_
+        + " status=" + std::to_string(status) + " host=" + call.host_ + " path=" + call.path_
+        + " view=" + std::to_string(state.table_->view_->version_)});
+    effects.push_back(RefuseCall{call.token_, status, retryAfter, ending.outcome_});
+    effects.push_back(DirectEnded{call.token_, ending.outcome_});
 }
 
 const Suspect *findSuspect(const DirectState &state, std::uint64_t digest)
@@ -275,17 +282,19 @@
 void onCall(DirectState &state, Instant now, const DirectCall &call, DirectEffects &effects)
 {
     if (!canServe(state)) {
-        refuseUnrouted(call, statusUnavailable, noViewRetry, "no_configuration", state, effects);
+        refuseUnrouted(call, statusUnavailable, noViewRetry, Ending{"no_configuration"}, state,
+                       effects);
         return;
     }
     const RouteSpec *route = findRoute(*state.table_, call.host_, call.path_);
     if (!route) {
-        refuseUnrouted(call, statusNotFound, nanoseconds(0), "no_route", state, effects);
+        refuseUnrouted(call, statusNotFound, nanoseconds(0), Ending{"no_route"}, state, effects);
         return;
     }
     const Account *account = findAccount(*state.table_, call.credential_);
     if (!account && !route->open_ && !state.table_->view_->fleet_.accounts_.empty()) {
-        refuseUnrouted(call, statusUnauthorized, nanoseconds(0), "bad_credential", state, effects);
+        refuseUnrouted(call, statusUnauthorized, nanoseconds(0), Ending{"bad_credential"}, state,
+                       effects);
         return;
     }
     const std::string accountName = account ? account->name_ : std::string();
@@ -294,7 +303,8 @@
     const Suspect *suspect = findSuspect(state, digest);
     if (suspect && suspect->crashes_ >= crashesToRefuse) {
         refuseUnrouted(call, statusUnavailable, suspectRetry,
-                       "crashed_upstreams digest=" + std::to_string(digest), state, effects);
+                       Ending{"crashed_upstreams", "digest=" + std::to_string(digest)}, state,
+                       effects);
         return;
     }
     DirectRequest &request = state.requests_[call.token_];
@@ -337,14 +347,16 @@
             "upstream=" + request.upstream_ + " status=" + std::to_string(event.status_)
                 + " detail=" + event.detail_);
     const bool unsent = event.end_ == RunEnd::NotSent;
+    if (!remake)
+        request.avoid_.push_back(request.upstream_);
     const bool again = unsent ? request.attempt_ < maxRuns && request.endAt_ - now > leastForRepeat
                               : mayRepeat(state, now, request);
     if (again) {
         sendAgain(state, now, event.token_, remake, effects);
         return;
     }
-    tellScheduler(request, false, "not_executed", effects);
-    giveUp(state, now, event.token_, fullRetry, "upstreams_full", effects);
+    tellScheduler(request, PlanResult::NotServed, "not_executed", effects);
+    giveUp(state, now, event.token_, fullRetry, Ending{"upstreams_full"}, effects);
 }
 
 // A connection that breaks before an answer may be the request's doing, if the upstream is down
@@ -382,9 +394,11 @@
                  DirectEffects &effects)
 {
     ++request.maybeRan_;
+    request.avoid_.push_back(request.upstream_);
     request.lastEventId_ = event.lastEventId_.empty() ? request.lastEventId_ : event.lastEventId_;
     addLine(effects, request, "run_failed",
-            "upstream=" + request.upstream_ + " took_ms=" + text(now - request.startedAt_)
+            "upstream=" + request.upstream_
+                + " took_ms=" + millisecondsText(now - request.startedAt_)
                 + " last_event=" + request.lastEventId_ + " detail=" + event.detail_);
     if (event.end_ == RunEnd::Failed && event.status_ == 0)
         suspectCrash(state, request, effects);
@@ -393,11 +407,12 @@
         sendAgain(state, now, event.token_, true, effects);
         return;
     }
-    tellScheduler(request, false, "engine_failed", effects);
+    tellScheduler(request, PlanResult::EngineFailed, "run_failed", effects);
     if (event.end_ == RunEnd::Broken)
-        refuse(state, now, event.token_, statusBadGateway, nanoseconds(0), "broken", effects);
+        refuse(state, now, event.token_, statusBadGateway, nanoseconds(0), Ending{"broken"},
+               effects);
     else
-        giveUp(state, now, event.token_, nanoseconds(0), "run_failed", effects);
+        giveUp(state, now, event.token_, nanoseconds(0), Ending{"run_failed"}, effects);
 }
 
 // A whole answer of the upstream. One that reports a failure is worth another try if that is safe.
@@ -411,14 +426,16 @@
     if (again) {
         addLine(effects, request, "repeat",
                 "upstream=" + request.upstream_ + " status=" + std::to_string(event.status_));
+        request.avoid_.push_back(request.upstream_);
         sendAgain(state, now, event.token_, true, effects);
         return;
     }
     if (!failed)
         clearIfSuspect(state, request, effects);
-    tellScheduler(request, !failed, "answered", effects);
+    tellScheduler(request, failed ? PlanResult::NotServed : PlanResult::Served, "answered",
+                  effects);
     effects.push_back(DeliverHeld{event.token_, event.attempt_});
-    finish(state, now, event.token_, "delivered", event.status_, effects);
+    finish(state, now, event.token_, Ending{"delivered"}, event.status_, effects);
 }
 
 void onRunEnded(DirectState &state, Instant now, const RunEnded &event, DirectEffects &effects)
@@ -434,8 +451,8 @@
     case RunEnd::Delivered:
         ++request->maybeRan_;
         clearIfSuspect(state, *request, effects);
-        tellScheduler(*request, true, "delivered", effects);
-        finish(state, now, event.token_, "delivered", event.status_, effects);
+        tellScheduler(*request, PlanResult::Served, "delivered", effects);
+        finish(state, now, event.token_, Ending{"delivered"}, event.status_, effects);
         return;
     case RunEnd::Held:
         onHeldAnswer(state, now, event, *request, effects);
@@ -465,16 +482,15 @@
 }
 
 // Stops whatever is under way for a request that is about to end.
-void stopWork(DirectState &state, Instant now, DirectRequest &request, const std::string &detail,
-              DirectEffects &effects)
+void stopWork(DirectState &state, Instant now, DirectRequest &request, bool upstreamFailed,
+              const std::string &detail, DirectEffects &effects)
 {
     if (request.phase_ == DirectPhase::Running) {
         effects.push_back(StopRun{request.call_.token_, request.attempt_});
-        const bool failed = detail == "timeout";
-        noteEnd(state.upstreams_, request.upstream_, now - request.startedAt_, failed, now);
+        noteEnd(state.upstreams_, request.upstream_, now - request.startedAt_, upstreamFailed, now);
         ++request.maybeRan_;
     }
-    tellScheduler(request, false, detail, effects);
+    tellScheduler(request, PlanResult::NotServed, detail, effects);
 }
 
 void onCallerGone(DirectState &state, Instant now, std::uint64_t token, DirectEffects &effects)
@@ -482,8 +498,8 @@
     const auto found = state.requests_.find(token);
     if (found == state.requests_.end())
         return;
-    stopWork(state, now, found->second, "caller_gone", effects);
-    finish(state, now, token, "caller_gone", 0, effects);
+    stopWork(state, now, found->second, false, "caller_gone", effects);
+    finish(state, now, token, Ending{"caller_gone"}, 0, effects);
 }
 
 DirectRequest *findPlanned(DirectState &state, const std::string &peer, const std::string &id,
@@ -526,7 +542,8 @@
     DirectRequest *request = findPlanned(state, event.peer_, refusal->id_, refusal->round_);
     if (!request)
         return;
-    giveUp(state, now, request->call_.token_, refusal->retryAfter_, refusal->reason_, effects);
+    giveUp(state, now, request->call_.token_, refusal->retryAfter_,
+           Ending{refusal->reason_, refusal->detail_}, effects);
 }
 
 // Requests that wait for a scheduler which is gone are handed to another one.
@@ -569,9 +586,9 @@
     while (!state.ends_.empty() && state.ends_.begin()->first <= now) {
         const std::uint64_t token = state.ends_.begin()->second;
         DirectRequest &request = state.requests_.at(token);
-        stopWork(state, now, request, "timeout", effects);
+        stopWork(state, now, request, true, "timeout", effects);
         const unsigned status = request.maybeRan_ == 0 ? statusUnavailable : statusGatewayTimeout;
-        refuse(state, now, token, status, nanoseconds(0), "timeout", effects);
+        refuse(state, now, token, status, nanoseconds(0), Ending{"timeout"}, effects);
     }
 }
 
--- a/packages/decision/src/direct/upstream_choice.cpp
+++ b/packages/decision/src/direct/upstream_choice.cpp
@@ -9,7 +9,6 @@
 constexpr double newestWeight = 0.2; // of the newest run in a moving mean
 constexpr nanoseconds assumedTime = milliseconds(50); // before anything was measured
 constexpr nanoseconds firstAvoidance = milliseconds(300);
-constexpr std::uint32_t longestAvoidance = 4; // doublings
 constexpr double failurePenalty = 10; // times the usual time if every run failed
 
 double costOf(const UpstreamRecord &record)
@@ -32,7 +31,7 @@
         const Upstream *upstream = members[(i + draw) % members.size()];
         const auto found = records.find(upstream->name_);
         const UpstreamRecord &record = found == records.end() ? unknown : found->second;
-        const bool avoided = record.avoidUntil_ > now
+        const bool avoided = isAvoided(record.avoidance_, now)
             || std::find(avoid.begin(), avoid.end(), upstream->name_) != avoid.end();
         const std::pair<bool, double> key(avoided, costOf(record));
         if (chosen && key >= chosenKey)
@@ -56,12 +55,10 @@
         --record.open_;
     record.failureShare_ += newestWeight * ((failed ? 1.0 : 0.0) - record.failureShare_);
     if (failed) {
-        const std::uint32_t doublings = std::min(record.failures_, longestAvoidance);
-        record.avoidUntil_ = now + firstAvoidance * (1 << doublings);
-        ++record.failures_;
+        noteFailure(record.avoidance_, firstAvoidance, now);
         return;
     }
-    record.failures_ = 0;
+    noteSuccess(record.avoidance_);
     if (record.usualTime_ == nanoseconds(0)) {
         record.usualTime_ = took;
         return;
--- a/packages/decision/src/scheduler/engine_plan.cpp
+++ b/packages/decision/src/scheduler/engine_plan.cpp
@@ -16,7 +16,6 @@
 constexpr nanoseconds equalWithin = milliseconds(10); // costs this close are decided by rank
 constexpr double bytesPerMb = 1e6;
 constexpr nanoseconds firstAvoidance = milliseconds(400);
-constexpr std::uint32_t longestAvoidance = 4; // doublings
 constexpr std::size_t maxParts = 4096;
 
 nanoseconds readTime(std::uint64_t tokens)
@@ -110,13 +109,10 @@
 void endRun(Engine &engine, const std::string &request, bool failed, Instant now)
 {
     engine.runs_.erase(request);
-    if (!failed) {
-        engine.failures_ = 0;
-        return;
-    }
-    const std::uint32_t doublings = std::min(engine.failures_, longestAvoidance);
-    engine.avoidUntil_ = now + firstAvoidance * (1 << doublings);
-    ++engine.failures_;
+    if (failed)
+        noteFailure(engine.avoidance_, firstAvoidance, now);
+    else
+        noteSuccess(engine.avoidance_);
 }
 
 } // namespace chervilspring
--- a/packages/decision/src/scheduler/scheduler.cpp
+++ b/packages/decision/src/scheduler/scheduler.cpp
@@ -11,7 +11,6 @@
 constexpr nanoseconds sweepInterval = milliseconds(50); // for what can't be served any more
 constexpr nanoseconds busyPause = milliseconds(100); // before a full upstream is asked again
 constexpr nanoseconds firstAvoidance = milliseconds(300); // after a failed call
-constexpr std::uint32_t longestAvoidance = 4; // doublings
 constexpr std::uint32_t maxPieceFailures = 3; // of one piece, then the request is refused
 constexpr double slownessWeight = 0.3; // of the newest call in the moving mean
 constexpr nanoseconds shortestRetry = milliseconds(100);
@@ -63,7 +62,11 @@
 void planAgain(SchedulerState &state, Instant now, Job &job, const PlanRequest &request,
                SchedulerEffects &effects)
 {
-    leaveEngine(state, now, job, true);
+    // Results that were gone are no fault of the engine: it stays the place where the prompt is
+    // read.
+    const bool failed = std::find(request.avoid_.begin(), request.avoid_.end(), job.engine_)
+        != request.avoid_.end();
+    leaveEngine(state, now, job, failed);
     job.request_ = request;
     job.granted_ = false;
     job.objectiveAt_ = now + request.untilObjective_;
@@ -91,7 +94,7 @@
     }
     Job &job = found->second;
     if (!poolsServed(state, job)) {
-        refuse(state, now, id, noEngineRetry, "no_upstream", effects);
+        refuse(state, now, id, noEngineRetry, "no_upstream", "", effects);
         return;
     }
     EngineCost cost;
@@ -119,18 +122,11 @@
     const auto found = state.jobs_.find(JobId{peer, end.id_});
     if (found == state.jobs_.end())
         return;
-    leaveEngine(state, now, found->second, !end.served_ && end.detail_ == "engine_failed");
+    leaveEngine(state, now, found->second, end.engineFailed_);
     freeAll(state, now, found->second, effects);
     state.jobs_.erase(found);
 }
 
-void avoid(StageUpstream &upstream, Instant now)
-{
-    const std::uint32_t doublings = std::min(upstream.failures_, longestAvoidance);
-    upstream.avoidUntil_ = now + firstAvoidance * (1 << doublings);
-    ++upstream.failures_;
-}
-
 // An item without a result waits again, with whatever it needs made anew.
 void onItemFailed(Job &job, std::uint32_t stage, std::uint32_t piece, ItemFailure failure)
 {
@@ -199,7 +195,7 @@
                                    [](const Piece &p) { return p.failures_ >= maxPieceFailures; });
             });
         if (hopeless) {
-            refuse(state, now, id, noEngineRetry, "stage_failed", effects);
+            refuse(state, now, id, noEngineRetry, "stage_failed", "", effects);
             continue;
         }
         freeConsumed(state, now, job, effects);
@@ -222,20 +218,20 @@
     const bool done =
         event.end_ == StageCallEnd::Done && event.items_.size() == call.pieces_.size();
     if (done) {
-        upstream.failures_ = 0;
+        noteSuccess(upstream.avoidance_);
         const double ratio =
             static_cast<double>(took.count()) / static_cast<double>(call.expected_.count());
         upstream.slowness_ += slownessWeight * (ratio - upstream.slowness_);
     } else {
         effects.push_back(DecisionLine{
             "decision=stage_call_failed call=" + std::to_string(event.call_) + " pool=" + call.pool_
-            + " upstream=" + call.upstream_ + " took_ms=" + text(took)
+            + " upstream=" + call.upstream_ + " took_ms=" + millisecondsText(took)
             + " end=" + std::to_string(static_cast<int>(event.end_)) + " detail=" + event.detail_});
     }
     if (event.end_ == StageCallEnd::Refused)
-        upstream.avoidUntil_ = now + busyPause;
+        upstream.busyUntil_ = now + busyPause;
     else if (!done)
-        avoid(upstream, now);
+        noteFailure(upstream.avoidance_, firstAvoidance, now);
     if (event.end_ == StageCallEnd::Unreachable)
         loseResultsOf(state, call.upstream_, "unreachable", effects);
     const bool unsent =
@@ -314,7 +310,8 @@
             tryGrant(state, now, id, job, effects);
     }
     for (const JobId &id : expired)
-        refuse(state, now, id, shortestRetry, "deadline", effects);
+        refuse(state, now, id, shortestRetry, "deadline",
+               "waited_ms=" + millisecondsText(now - state.jobs_.at(id).arrivedAt_), effects);
     for (const JobId &id : forgotten) {
         leaveEngine(state, now, state.jobs_.at(id), false);
         freeAll(state, now, state.jobs_.at(id), effects);
--- a/packages/decision/src/scheduler/scheduler_admission.cpp
+++ b/packages/decision/src/scheduler/scheduler_admission.cpp
@@ -58,9 +58,8 @@
     if (!hopeless && (!crowdedOut || worthWaiting))
         return false;
     const nanoseconds clear = std::max(shortestRetry, predicted - alone);
-    refuse(state, now, id, clear,
-           std::string(hopeless ? "deadline" : "objective") + " predicted_ms=" + text(predicted)
-               + " alone_ms=" + text(alone),
+    refuse(state, now, id, clear, hopeless ? "deadline" : "objective",
+           "predicted_ms=" + millisecondsText(predicted) + " alone_ms=" + millisecondsText(alone),
            effects);
     return true;
 }
--- a/packages/decision/src/scheduler/scheduler_calls.cpp
+++ b/packages/decision/src/scheduler/scheduler_calls.cpp
@@ -13,7 +13,8 @@
 {
     const auto known = state.stageUpstreams_.find(name);
     return known == state.stageUpstreams_.end()
-        || (known->second.call_ == 0 && known->second.avoidUntil_ <= now);
+        || (known->second.call_ == 0 && known->second.busyUntil_ <= now
+            && !isAvoided(known->second.avoidance_, now));
 }
 
 std::vector<const Upstream *> idleUpstreams(const SchedulerState &state, const std::string &pool,
@@ -79,7 +80,7 @@
     effects.push_back(DecisionLine{
         "decision=stage_call call=" + std::to_string(start.call_) + " pool=" + pool + " upstream="
         + upstream.name_ + " pieces=" + std::to_string(pieces.size()) + " first_request="
-        + pieces.front().id_.job_.request_ + " expected_ms=" + text(call.expected_)});
+        + pieces.front().id_.job_.request_ + " expected_ms=" + millisecondsText(call.expected_)});
     state.calls_[start.call_] = std::move(call);
     effects.push_back(std::move(start));
 }
--- a/packages/decision/src/scheduler/scheduler_common.cpp
+++ b/packages/decision/src/scheduler/scheduler_common.cpp
@@ -4,11 +4,6 @@
 
 namespace chervilspring::scheduling {
 
-std::string text(nanoseconds time)
-{
-    return std::to_string(time / milliseconds(1));
-}
-
 const Upstream *findUpstream(const SchedulerState &state, const std::string &name)
 {
     return findByName(state.view_->upstreams_, name);
@@ -27,15 +22,17 @@
 }
 
 void refuse(SchedulerState &state, Instant now, const JobId &id, nanoseconds retryAfter,
-            const std::string &reason, SchedulerEffects &effects)
+            const std::string &reason, const std::string &detail, SchedulerEffects &effects)
 {
     const auto found = state.jobs_.find(id);
     if (found == state.jobs_.end())
         return;
     Job &job = found->second;
-    addLine(effects, job, "refuse reason=" + reason + " retry_after_ms=" + text(retryAfter));
+    addLine(effects, job,
+            "refuse reason=" + reason + " " + detail
+                + " retry_after_ms=" + millisecondsText(retryAfter));
     effects.push_back(SendToPeer{
-        id.entry_, PlanRefusal{job.request_.id_, job.request_.round_, retryAfter, reason}});
+        id.entry_, PlanRefusal{job.request_.id_, job.request_.round_, retryAfter, reason, detail}});
     freeAll(state, now, job, effects);
     state.jobs_.erase(found);
 }
--- a/packages/decision/src/scheduler/scheduler_grant.cpp
+++ b/packages/decision/src/scheduler/scheduler_grant.cpp
@@ -52,8 +52,8 @@
         if (cost.full_)
             continue;
         const auto &avoid = job.request_.avoid_;
-        const bool avoided =
-            engine.avoidUntil_ > now || std::find(avoid.begin(), avoid.end(), name) != avoid.end();
+        const bool avoided = isAvoided(engine.avoidance_, now)
+            || std::find(avoid.begin(), avoid.end(), name) != avoid.end();
         const bool better = !chosen || (chosenAvoided && !avoided)
             || (chosenAvoided == avoided && isBetter(cost, chosenCost));
         if (!better)
@@ -80,9 +80,10 @@
     startRun(state.engines_[upstream->name_], job.request_, cost, now);
     addLine(effects, job,
             "grant upstream=" + upstream->name_ + " unread_tokens="
-                + std::to_string(cost.unreadTokens_) + " wait_ms=" + text(cost.wait_)
-                + " crossing_bytes=" + std::to_string(cost.crossingBytes_) + " stages_ms="
-                + text(now - job.arrivedAt_) + " view=" + std::to_string(state.view_->version_));
+                + std::to_string(cost.unreadTokens_) + " wait_ms=" + millisecondsText(cost.wait_)
+                + " crossing_bytes=" + std::to_string(cost.crossingBytes_)
+                + " stages_ms=" + millisecondsText(now - job.arrivedAt_)
+                + " view=" + std::to_string(state.view_->version_));
     effects.push_back(SendToPeer{id.entry_,
                                  PlanGrant{job.request_.id_, job.request_.round_, upstream->name_,
                                            upstream->agentBoot_, finalHandles(job)}});
--- a/packages/decision/tests/unit-direct.cpp
+++ b/packages/decision/tests/unit-direct.cpp
@@ -374,6 +374,9 @@
                     BOOST_TEST(mayHaveRun[refusal->token_] == 0);
             } else if (const auto *end = std::get_if<DirectEnded>(&effect)) {
                 BOOST_TEST(++ended[end->token_] == 1);
+                BOOST_TEST(end->outcome_.find_first_not_of("abcdefghijklmnopqrstuvwxyz_")
+                               == std::string::npos,
+                           end->outcome_);
             }
         }
     };
--- a/packages/decision/tests/unit-scheduler.cpp
+++ b/packages/decision/tests/unit-scheduler.cpp
@@ -147,6 +147,23 @@
     BOOST_TEST(result.onTime_ + result.late_ >= result.asked_ * 9 / 10);
 }
 
+// Reasons become labels of metrics: figures in them would make a new time series for each request.
+bool isWord(const std::string &text)
+{
+    return !text.empty()
+        && text.find_first_not_of("abcdefghijklmnopqrstuvwxyz_") == std::string::npos;
+}
+
+BOOST_AUTO_TEST_CASE(reason_of_a_refusal_is_a_word)
+{
+    StageModel model({});
+    model.load(70, seconds(3));
+    model.run(seconds(7));
+    BOOST_REQUIRE(!model.refusals_.empty());
+    for (const auto &[id, refusal] : model.refusals_)
+        BOOST_TEST(isWord(refusal.reason_), refusal.reason_);
+}
+
 // The load: twice what full calls can carry, for five seconds. What can't be on time is told so
 // while it can still go elsewhere, with a time to come back.
 BOOST_DATA_TEST_CASE(burst_is_refused_at_once_and_what_is_taken_is_on_time, data::xrange(1, 6),
@@ -194,6 +211,33 @@
     BOOST_TEST(model.grants_.contains(id));
 }
 
+// Results that are gone are no reason to leave the engine that has read the prompt.
+BOOST_AUTO_TEST_CASE(engine_is_avoided_after_a_failure_but_not_for_inputs_that_are_gone)
+{
+    for (const bool failed : {false, true}) {
+        StageModel model({});
+        const std::string id = "r1";
+        PlanRequest request;
+        request.id_ = id;
+        request.route_ = "route";
+        request.pool_ = "engine";
+        request.untilObjective_ = seconds(1);
+        request.untilDeadline_ = seconds(5);
+        request.pieceCounts_ = {0, 0};
+        request.round_ = 1;
+        SchedulerEffects effects;
+        reduce(model.state(), model.now_, PeerMessage{"entry", request}, effects);
+        const std::string engine = model.state().jobs_.at(JobId{"entry", id}).engine_;
+        request.round_ = 2;
+        request.remake_ = true;
+        if (failed)
+            request.avoid_ = {engine};
+        reduce(model.state(), model.now_, PeerMessage{"entry", request}, effects);
+        const std::string next = model.state().jobs_.at(JobId{"entry", id}).engine_;
+        BOOST_TEST((next == engine) == !failed);
+    }
+}
+
 BOOST_AUTO_TEST_CASE(entry_that_is_lost_takes_its_waiting_requests_along)
 {
     StageModel model({});
--- a/packages/wire/schema/fleet.capnp
+++ b/packages/wire/schema/fleet.capnp
@@ -557,6 +557,7 @@
   round @1 :UInt32;
   retryAfter @2 :Int64;
   reason @3 :Text;
+  detail @4 :Text;
 }
 
 struct PlanStarted {
@@ -569,6 +570,7 @@
   round @1 :UInt32;
   served @2 :Bool;
   detail @3 :Text;
+  engineFailed @4 :Bool;
 }
 
 struct Command {
