--- a/packages/server/include/chervilspring/detail/process/agent_thread.hpp
+++ b/packages/server/include/chervilspring/detail/process/agent_thread.hpp
@@ -6,6 +6,7 @@
 #include "chervilspring/detail/net/http_client.hpp"
 #include "chervilspring/detail/process/metrics.hpp"
 #include "chervilspring/detail/process/node_thread.hpp"
+#include "chervilspring/detail/process/wake_timer.hpp"
 
 #include <boost/asio/cancellation_signal.hpp>
 
@@ -36,7 +37,6 @@
     void step(const AgentEvent &event);
     void takeView();
     void carryOut(AgentEffects &effects);
-    void armTimer();
     void onHttp(const HttpExchangePointer &exchange);
     void onAnnounce(const HttpExchangePointer &exchange);
     void onPeerMessage(const std::string &peer, Message message);
@@ -50,7 +50,7 @@
     PeerNetwork network_;
     HttpServer http_;
     HttpClient client_;
-    boost::asio::steady_timer timer_;
+    WakeTimer timer_;
     std::shared_ptr<const ViewChanged> taken_;
     std::map<AttemptId, std::shared_ptr<boost::asio::cancellation_signal>> calls_;
     std::uint16_t upstreamPort_ = 0;
--- a/packages/server/include/chervilspring/detail/process/control_thread.hpp
+++ b/packages/server/include/chervilspring/detail/process/control_thread.hpp
@@ -9,6 +9,7 @@
 #include "chervilspring/detail/process/metrics.hpp"
 #include "chervilspring/detail/process/scheduler_thread.hpp"
 #include "chervilspring/detail/process/storage_thread.hpp"
+#include "chervilspring/detail/process/wake_timer.hpp"
 #include "chervilspring/settings.hpp"
 
 namespace chervilspring {
@@ -62,7 +63,6 @@
 private:
     void handle(const ControlEvent &event);
     void carryOut(ControlEffects &effects);
-    void armTimer();
     void onHttp(const HttpExchangePointer &exchange);
     bool authorised(const HttpExchangePointer &exchange);
     void onRead(const HttpExchangePointer &exchange);
@@ -80,7 +80,7 @@
     ControlState state_;
     PeerNetwork network_;
     HttpServer http_;
-    boost::asio::steady_timer timer_;
+    WakeTimer timer_;
     StorageThread storage_;
     Metrics metrics_;
     TrafficMetrics trafficMetrics_;
--- a/packages/server/include/chervilspring/detail/process/direct_thread.hpp
+++ b/packages/server/include/chervilspring/detail/process/direct_thread.hpp
@@ -7,6 +7,7 @@
 #include "chervilspring/detail/net/run_client.hpp"
 #include "chervilspring/detail/process/node_thread.hpp"
 #include "chervilspring/detail/process/traffic_metrics.hpp"
+#include "chervilspring/detail/process/wake_timer.hpp"
 
 namespace chervilspring {
 
@@ -33,7 +34,6 @@
 private:
     void handle(const DirectEvent &event);
     void carryOut(DirectEffects &effects);
-    void armTimer();
     void onRequest(const DirectExchangePointer &exchange);
     void onProbe(const HttpExchangePointer &exchange);
     void takeView();
@@ -51,9 +51,8 @@
     HttpServer probes_;
     HttpServer metricsServer_;
     RunClient client_;
-    boost::asio::steady_timer timer_;
+    WakeTimer timer_;
     boost::asio::steady_timer stopTimer_;
-    Instant timerAt_{};
     std::shared_ptr<const ViewChanged> taken_;
     std::map<std::uint64_t, DirectExchangePointer> exchanges_; ///< by token
     std::map<std::uint64_t, Instant> arrivals_; ///< by token
--- a/packages/server/include/chervilspring/detail/process/entry_shard.hpp
+++ b/packages/server/include/chervilspring/detail/process/entry_shard.hpp
@@ -6,6 +6,7 @@
 #include "chervilspring/detail/net/http_server.hpp"
 #include "chervilspring/detail/process/metrics.hpp"
 #include "chervilspring/detail/process/node_thread.hpp"
+#include "chervilspring/detail/process/wake_timer.hpp"
 
 namespace chervilspring {
 
@@ -46,7 +47,6 @@
     void step(const EntryEvent &event);
     void takeView();
     void carryOut(EntryEffects &effects);
-    void armTimer();
     void onHttp(const HttpExchangePointer &exchange);
     void onPipelineCall(const HttpExchangePointer &exchange, const std::string &pipeline);
     void onTraceCall(const HttpExchangePointer &exchange, const std::string &rest);
@@ -63,7 +63,7 @@
     EntryState state_;
     PeerNetwork network_;
     HttpServer http_;
-    boost::asio::steady_timer timer_;
+    WakeTimer timer_;
     boost::asio::steady_timer stopTimer_;
     std::shared_ptr<const ViewChanged> taken_;
     std::map<std::uint64_t, HttpExchangePointer> exchanges_; ///< by token
--- a/packages/server/include/chervilspring/detail/process/node_thread.hpp
+++ b/packages/server/include/chervilspring/detail/process/node_thread.hpp
@@ -4,6 +4,7 @@
 
 #include "chervilspring/detail/net/peer_network.hpp"
 #include "chervilspring/detail/node/node.hpp"
+#include "chervilspring/detail/process/wake_timer.hpp"
 #include "chervilspring/settings.hpp"
 
 #include <mutex>
@@ -71,20 +72,16 @@
 private:
     void handle(const NodeEvent &event);
     void carryOut(const NodeEffects &effects);
-    void armTimer();
 
     boost::asio::io_context context_;
     NodeCallbacks callbacks_;
     NodeState state_;
     PeerNetwork network_;
-    boost::asio::steady_timer timer_;
+    WakeTimer timer_;
     PublishedView published_;
     std::thread thread_;
 };
 
-/// @brief Duration from now until an Instant, for timers; never negative.
-nanoseconds until(Instant when, Instant now);
-
 /// @brief Current wall clock in the resolution of the log.
 WallTime wallNow();
 
--- a/packages/server/include/chervilspring/detail/process/scheduler_thread.hpp
+++ b/packages/server/include/chervilspring/detail/process/scheduler_thread.hpp
@@ -6,6 +6,7 @@
 #include "chervilspring/detail/net/direct_protocol.hpp"
 #include "chervilspring/detail/net/peer_network.hpp"
 #include "chervilspring/detail/process/traffic_metrics.hpp"
+#include "chervilspring/detail/process/wake_timer.hpp"
 #include "chervilspring/settings.hpp"
 
 #include <thread>
@@ -31,7 +32,6 @@
 private:
     void handle(const SchedulerEvent &event);
     void carryOut(SchedulerEffects &effects);
-    void armTimer();
     boost::asio::awaitable<void> callStage(StartStageCall call);
     boost::asio::awaitable<void> freeResults(FreeResults results);
 
@@ -42,8 +42,7 @@
     SchedulerState state_;
     PeerNetwork network_;
     HttpClient client_;
-    boost::asio::steady_timer timer_;
-    Instant timerAt_{};
+    WakeTimer timer_;
     std::thread thread_;
 };
 
--- a/packages/server/src/agent_thread.cpp
+++ b/packages/server/src/agent_thread.cpp
@@ -105,7 +105,7 @@
                             [](const std::string &) {}, [this] { return currentLoad(state_); }}),
       http_(context_, HttpLimits{settings.bodyLimit_, settings.readTimeout_},
             [this](const HttpExchangePointer &exchange) { onHttp(exchange); }),
-      client_(context_), timer_(context_)
+      client_(context_), timer_(context_, [this] { handle(Wake{}); })
 { }
 
 AgentThread::~AgentThread()
@@ -163,7 +163,7 @@
 {
     takeView();
     step(event);
-    armTimer();
+    timer_.arm(nextWake(state_));
 }
 
 void AgentThread::step(const AgentEvent &event)
@@ -193,15 +193,6 @@
     }
 }
 
-void AgentThread::armTimer()
-{
-    timer_.expires_after(until(nextWake(state_), BootClock::now()));
-    timer_.async_wait([this](boost::system::error_code error) {
-        if (!error)
-            handle(Wake{});
-    });
-}
-
 void AgentThread::onPeerMessage(const std::string &peer, Message message)
 {
     if (std::holds_alternative<Heartbeat>(message)
--- a/packages/server/src/control_thread.cpp
+++ b/packages/server/src/control_thread.cpp
@@ -79,7 +79,7 @@
                             {}}),
       http_(context_, HttpLimits{settings.bodyLimit_, settings.readTimeout_},
             [this](const HttpExchangePointer &exchange) { onHttp(exchange); }),
-      timer_(context_),
+      timer_(context_, [this] { handle(Wake{}); }),
       storage_(
           std::move(log),
           [this](std::uint64_t sequence) {
@@ -145,7 +145,7 @@
     reduce(state_, BootClock::now(), wallNow(), event, effects);
     carryOut(effects);
     shareView();
-    armTimer();
+    timer_.arm(nextWake(state_));
 }
 
 // The scheduler works with the newest view that this process has applied.
@@ -209,15 +209,6 @@
     }
 }
 
-void ControlThread::armTimer()
-{
-    timer_.expires_after(until(nextWake(state_), BootClock::now()));
-    timer_.async_wait([this](boost::system::error_code error) {
-        if (!error)
-            handle(Wake{});
-    });
-}
-
 bool ControlThread::authorised(const HttpExchangePointer &exchange)
 {
     const std::string digest = credentialDigest(settings_.operatorSalt_, exchange->bearer());
--- a/packages/server/src/direct_server.cpp
+++ b/packages/server/src/direct_server.cpp
@@ -1,5 +1,6 @@
 #include "chervilspring/detail/net/direct_server.hpp"
 
+#include "chervilspring/detail/net/caller_presence.hpp"
 #include "chervilspring/log.hpp"
 
 #include <boost/asio/co_spawn.hpp>
@@ -45,18 +46,6 @@
     asio::steady_timer timer_;
 };
 
-bool hasEnded(tcp::socket &socket)
-{
-    char byte = 0;
-    boost::system::error_code error;
-    socket.non_blocking(true, error);
-    const std::size_t count =
-        socket.receive(asio::buffer(&byte, 1), tcp::socket::message_peek, error);
-    if (error == asio::error::would_block || error == asio::error::try_again)
-        return false;
-    return error || count == 0;
-}
-
 std::string refusalText(unsigned status, nanoseconds retryAfter, const std::string &reason,
                         bool keepAlive)
 {
--- a/packages/server/src/direct_thread.cpp
+++ b/packages/server/src/direct_thread.cpp
@@ -61,7 +61,7 @@
       client_(context_, protocol,
               RunHandlers{[this](const RunStarted &event) { handle(event); },
                           [this](const RunEnded &event) { handle(event); }}),
-      timer_(context_), stopTimer_(context_)
+      timer_(context_, [this] { handle(Wake{}); }), stopTimer_(context_)
 {
     network_.setDefaultPort(schedulerPort(settings));
 }
@@ -108,7 +108,7 @@
     DirectEffects effects;
     reduce(state_, BootClock::now(), event, effects);
     carryOut(effects);
-    armTimer();
+    timer_.arm(nextWake(state_));
 }
 
 void DirectThread::carryOut(DirectEffects &effects)
@@ -165,23 +165,6 @@
                          BootClock::now() - startedAt);
 }
 
-void DirectThread::armTimer()
-{
-    const Instant wake = nextWake(state_);
-    const Instant now = BootClock::now();
-    // A timer that fires too early only looks once more; moving it costs more than that.
-    if (timerAt_ > now && timerAt_ <= wake)
-        return;
-    timerAt_ = now + until(wake, now);
-    timer_.expires_after(until(wake, now));
-    timer_.async_wait([this](boost::system::error_code error) {
-        if (error)
-            return;
-        timerAt_ = Instant{};
-        handle(Wake{});
-    });
-}
-
 void DirectThread::onRequest(const DirectExchangePointer &exchange)
 {
     handleErrors(
--- a/packages/server/src/entry_shard.cpp
+++ b/packages/server/src/entry_shard.cpp
@@ -132,7 +132,7 @@
                             {}}),
       http_(context_, HttpLimits{settings.bodyLimit_, settings.readTimeout_},
             [this](const HttpExchangePointer &exchange) { onHttp(exchange); }),
-      timer_(context_), stopTimer_(context_)
+      timer_(context_, [this] { handle(Wake{}); }), stopTimer_(context_)
 { }
 
 EntryShard::~EntryShard()
@@ -219,7 +219,7 @@
 {
     takeView();
     step(event);
-    armTimer();
+    timer_.arm(nextWake(state_));
 }
 
 void EntryShard::step(const EntryEvent &event)
@@ -246,15 +246,6 @@
     }
 }
 
-void EntryShard::armTimer()
-{
-    timer_.expires_after(until(nextWake(state_), BootClock::now()));
-    timer_.async_wait([this](boost::system::error_code error) {
-        if (!error)
-            handle(Wake{});
-    });
-}
-
 void EntryShard::onPeerMessage(const std::string &peer, Message message)
 {
     if (std::holds_alternative<Heartbeat>(message)
--- a/packages/server/src/http_server.cpp
+++ b/packages/server/src/http_server.cpp
@@ -1,5 +1,6 @@
 #include "chervilspring/detail/net/http_server.hpp"
 
+#include "chervilspring/detail/net/caller_presence.hpp"
 #include "chervilspring/error.hpp"
 
 #include <boost/asio/co_spawn.hpp>
@@ -23,19 +24,6 @@
 constexpr std::size_t headerLimit = 16384; // bytes
 using ReusePort = asio::detail::socket_option::boolean<SOL_SOCKET, SO_REUSEPORT>;
 
-// True if the caller closed its side.
-bool hasEnded(tcp::socket &socket)
-{
-    char byte = 0;
-    boost::system::error_code error;
-    socket.non_blocking(true, error);
-    const std::size_t count =
-        socket.receive(asio::buffer(&byte, 1), tcp::socket::message_peek, error);
-    if (error == asio::error::would_block || error == asio::error::try_again)
-        return false;
-    return error || count == 0;
-}
-
 } // namespace
 
 HttpExchange::HttpExchange(asio::io_context &context, HttpRequest request)
--- a/packages/server/src/node_thread.cpp
+++ b/packages/server/src/node_thread.cpp
@@ -25,14 +25,6 @@
 
 } // namespace
 
-nanoseconds until(Instant when, Instant now)
-{
-    constexpr nanoseconds longest = seconds(60);
-    if (when <= now)
-        return nanoseconds(0);
-    return std::min(longest, when - now);
-}
-
 WallTime wallNow()
 {
     return std::chrono::time_point_cast<milliseconds>(std::chrono::system_clock::now());
@@ -47,7 +39,7 @@
                             },
                             [this](const std::string &peer) { handle(PeerLost{peer}); },
                             {}}),
-      timer_(context_),
+      timer_(context_, [this] { handle(Wake{}); }),
       published_(std::make_shared<const ViewChanged>(ViewChanged{std::make_shared<const View>()}))
 {
     for (const ControlAddress &control : settings.control_)
@@ -83,7 +75,7 @@
     NodeEffects effects;
     reduce(state_, BootClock::now(), event, effects);
     carryOut(effects);
-    armTimer();
+    timer_.arm(nextWake(state_));
 }
 
 void NodeThread::carryOut(const NodeEffects &effects)
@@ -112,13 +104,4 @@
     }
 }
 
-void NodeThread::armTimer()
-{
-    timer_.expires_after(until(nextWake(state_), BootClock::now()));
-    timer_.async_wait([this](boost::system::error_code error) {
-        if (!error)
-            handle(Wake{});
-    });
-}
-
 } // namespace chervilspring
--- a/packages/server/src/scheduler_thread.cpp
+++ b/packages/server/src/scheduler_thread.cpp
@@ -21,7 +21,7 @@
                             },
                             [this](const std::string &peer) { handle(PeerLost{peer}); },
                             {}}),
-      client_(context_), timer_(context_)
+      client_(context_), timer_(context_, [this] { handle(Wake{}); })
 { }
 
 SchedulerThread::~SchedulerThread()
@@ -53,7 +53,7 @@
     SchedulerEffects effects;
     reduce(state_, BootClock::now(), event, effects);
     carryOut(effects);
-    armTimer();
+    timer_.arm(nextWake(state_));
 }
 
 void SchedulerThread::carryOut(SchedulerEffects &effects)
@@ -75,23 +75,6 @@
     }
 }
 
-void SchedulerThread::armTimer()
-{
-    const Instant wake = nextWake(state_);
-    const Instant now = BootClock::now();
-    // A timer that fires too early only looks once more; moving it costs more than that.
-    if (timerAt_ > now && timerAt_ <= wake)
-        return;
-    timerAt_ = now + until(wake, now);
-    timer_.expires_after(until(wake, now));
-    timer_.async_wait([this](boost::system::error_code error) {
-        if (error)
-            return;
-        timerAt_ = Instant{};
-        handle(Wake{});
-    });
-}
-
 asio::awaitable<void> SchedulerThread::callStage(StartStageCall call)
 {
     const Instant started = BootClock::now();
