Hand results over to the next scheduler; look for a lost leader's successor at once

Change: a lost leader is asked after at once and then every 100 ms, and isn't believed on hearsay for a second; planned requests move to the leader that is named; entries are told what was made and pass it on, so that the next scheduler goes on from there.

--- a/packages/core/include/chervilspring/messages.hpp
+++ b/packages/core/include/chervilspring/messages.hpp
@@ -530,6 +530,17 @@
 };
 BOOST_DESCRIBE_STRUCT(PromptPart, (), (id_, tokens_))
 
+/// @brief A result of a stage that lies at its maker.
+struct PieceResult
+{
+    std::uint32_t stage_ = 0;
+    std::uint32_t piece_ = 0;
+    std::string upstream_; ///< its maker
+    std::string handle_;
+    nanoseconds age_{0}; ///< since it was made
+};
+BOOST_DESCRIBE_STRUCT(PieceResult, (), (stage_, piece_, upstream_, handle_, age_))
+
 /// @brief Asks a scheduler to have a request's stages done and to choose its model engine.
 struct PlanRequest
 {
@@ -548,11 +559,21 @@
     std::uint32_t round_ = 0; ///< counts how often this entry asked for the request
     std::vector<std::string> avoid_; ///< upstreams that refused or failed it
     bool remake_ = false; ///< the results handed out before are gone
+    std::vector<PieceResult> results_; ///< that a scheduler before this one had made
 };
 BOOST_DESCRIBE_STRUCT(PlanRequest, (),
                       (id_, route_, pool_, account_, priority_, untilObjective_, untilDeadline_,
                        pieceCounts_, pieceKey_, promptTokens_, outputTokens_, parts_, round_,
-                       avoid_, remake_))
+                       avoid_, remake_, results_))
+
+/// @brief Pieces of the request have been made. Whoever plans it next goes on from them.
+struct PlanProgress
+{
+    std::string id_;
+    std::uint32_t round_ = 0;
+    std::vector<PieceResult> results_; ///< of one call, age zero
+};
+BOOST_DESCRIBE_STRUCT(PlanProgress, (), (id_, round_, results_))
 
 /// @brief The request may run now, at this upstream, with these inputs.
 struct PlanGrant
@@ -592,14 +613,16 @@
     bool served_ = false;
     std::string detail_;
     bool engineFailed_ = false; ///< the model engine broke off, or gave no answer in time
+    bool moved_ = false; ///< another scheduler goes on with its results
 };
-BOOST_DESCRIBE_STRUCT(PlanEnd, (), (id_, round_, served_, detail_, engineFailed_))
+BOOST_DESCRIBE_STRUCT(PlanEnd, (), (id_, round_, served_, detail_, engineFailed_, moved_))
 
 /// @brief Everything that can stand in a frame. New alternatives go at the end.
-using Message = std::variant<Dispatch, Inquire, Cancel, AttemptResult, StreamChunk, AttemptState,
-                             Ping, Propose, ProposeReply, Heartbeat, HeartbeatReply, VoteRequest,
-                             VoteReply, AppendRequest, AppendReply, InstallSnapshot, TimeoutNow,
-                             Join, PlanRequest, PlanGrant, PlanRefusal, PlanStarted, PlanEnd>;
+using Message =
+    std::variant<Dispatch, Inquire, Cancel, AttemptResult, StreamChunk, AttemptState, Ping, Propose,
+                 ProposeReply, Heartbeat, HeartbeatReply, VoteRequest, VoteReply, AppendRequest,
+                 AppendReply, InstallSnapshot, TimeoutNow, Join, PlanRequest, PlanGrant,
+                 PlanRefusal, PlanStarted, PlanEnd, PlanProgress>;
 
 /// @brief Helper to build a visitor from lambdas.
 template<typename... Ts> struct Overloaded : Ts...
--- a/packages/decision/include/chervilspring/detail/direct/direct.hpp
+++ b/packages/decision/include/chervilspring/detail/direct/direct.hpp
@@ -155,6 +155,14 @@
 /// @brief Where a request stands.
 enum class DirectPhase { Planning, Running };
 
+/// @brief A piece of a request that lies at its maker.
+struct KnownResult
+{
+    std::string upstream_;
+    std::string handle_;
+    Instant madeAt_{};
+};
+
 /// @brief A request under way.
 struct DirectRequest
 {
@@ -177,6 +185,7 @@
     Instant startedAt_{}; ///< of the newest run
     std::vector<std::string> avoid_;
     std::string lastEventId_;
+    std::map<std::pair<std::uint32_t, std::uint32_t>, KnownResult> results_; ///< by stage, piece
 };
 
 /// @brief Whole state.
--- a/packages/decision/include/chervilspring/detail/node/node.hpp
+++ b/packages/decision/include/chervilspring/detail/node/node.hpp
@@ -75,6 +75,8 @@
     std::uint32_t share_ = 0;
     Instant shareExpires_{};
     std::string leader_; ///< best guess
+    std::string lostLeader_; ///< leader whose connection broke last
+    Instant lostLeaderAt_{};
     std::size_t nextGuess_ = 0;
     std::optional<Upstream> upstream_;
     Load load_;
--- a/packages/decision/src/direct/direct_planning.cpp
+++ b/packages/decision/src/direct/direct_planning.cpp
@@ -49,6 +49,9 @@
     plan.round_ = request.round_;
     plan.avoid_ = request.avoid_;
     plan.remake_ = remake;
+    for (const auto &[place, result] : request.results_)
+        plan.results_.push_back(PieceResult{place.first, place.second, result.upstream_,
+                                            result.handle_, now - result.madeAt_});
     return plan;
 }
 
@@ -76,15 +79,40 @@
         askScheduler(state, now, *request, false, effects);
         return;
     }
+    request->results_.clear();
     startRun(state, now, *request, *upstream->second, grant.inputs_, effects);
 }
 
+void onProgress(DirectState &state, Instant now, const std::string &peer,
+                const PlanProgress &progress)
+{
+    DirectRequest *request = findPlanned(state, peer, progress.id_, progress.round_);
+    if (!request)
+        return;
+    for (const PieceResult &result : progress.results_)
+        request->results_[{result.stage_, result.piece_}] =
+            KnownResult{result.upstream_, result.handle_, now};
+}
+
+// Moves what is planned elsewhere: two schedulers would each count on the whole room and time of
+// the stage upstreams.
+void moveToLeader(DirectState &state, Instant now, DirectEffects &effects)
+{
+    for (auto &[token, request] : state.requests_) {
+        if (request.phase_ == DirectPhase::Planning && isPlanned(request)
+            && request.scheduler_ != state.leader_)
+            askScheduler(state, now, request, false, effects);
+    }
+}
+
 } // namespace
 
 void askScheduler(DirectState &state, Instant now, DirectRequest &request, bool remake,
                   DirectEffects &effects)
 {
     request.phase_ = DirectPhase::Planning;
+    if (remake)
+        request.results_.clear();
     const std::string scheduler = chooseScheduler(state, now);
     const std::string before = std::exchange(request.scheduler_, scheduler);
     ++request.round_;
@@ -93,11 +121,11 @@
         return;
     }
     if (!before.empty() && before != scheduler)
-        effects.push_back(
-            SendToPeer{before, PlanEnd{request.call_.id_, request.round_, false, "moved", false}});
+        effects.push_back(SendToPeer{
+            before, PlanEnd{request.call_.id_, request.round_, false, "moved", false, true}});
     addLine(effects, request, "plan",
             "scheduler=" + scheduler + " round=" + std::to_string(request.round_)
-                + " until_objective_ms="
+                + " results=" + std::to_string(request.results_.size()) + " until_objective_ms="
                 + millisecondsText(request.arrivedAt_ + request.route_->objective_ - now)
                 + " until_end_ms=" + millisecondsText(request.endAt_ - now));
     effects.push_back(SendToPeer{scheduler, makePlanRequest(request, now, remake)});
@@ -110,6 +138,10 @@
         onGrant(state, now, event.peer_, *grant, effects);
         return;
     }
+    if (const auto *progress = std::get_if<PlanProgress>(&event.message_)) {
+        onProgress(state, now, event.peer_, *progress);
+        return;
+    }
     const auto *refusal = std::get_if<PlanRefusal>(&event.message_);
     if (!refusal)
         return;
@@ -131,7 +163,7 @@
             continue;
         request.scheduler_.clear();
         if (request.phase_ == DirectPhase::Planning)
-            askScheduler(state, now, request, true, effects);
+            askScheduler(state, now, request, false, effects);
     }
 }
 
@@ -146,6 +178,7 @@
             DecisionLine{"decision=leader leader=" + event.leader_ + " was=" + state.leader_});
         state.leader_ = event.leader_;
         state.lostSchedulers_.erase(event.leader_);
+        moveToLeader(state, now, effects);
     }
     state.controlNames_ = event.controlNames_;
     if (event.view_->version_ == state.table_->view_->version_)
--- a/packages/decision/src/node/node.cpp
+++ b/packages/decision/src/node/node.cpp
@@ -10,7 +10,8 @@
 
 constexpr nanoseconds heartbeatInterval = seconds(1);
 constexpr nanoseconds firstHeartbeats = milliseconds(100); // until view and share have come
-constexpr nanoseconds searchInterval = milliseconds(250); // while no leader is known
+constexpr nanoseconds searchInterval = milliseconds(100); // while no leader is known
+constexpr nanoseconds lostLeaderDoubt = seconds(1); // others name a lost leader until they notice
 constexpr nanoseconds heartbeatPatience = milliseconds(1500);
 constexpr nanoseconds proposalResend = milliseconds(250);
 constexpr std::size_t maxControlNames = 16; // former members are kept as places to ask
@@ -30,9 +31,18 @@
     return names[state.nextGuess_++ % names.size()];
 }
 
-void setLeader(NodeState &state, const std::string &leader)
+// Whether a process names a leader whose connection has just broken, without being that leader.
+bool isOutdated(const NodeState &state, Instant now, const std::string &peer,
+                const std::string &leader)
 {
-    if (isControl(state, leader))
+    return peer != leader && leader == state.lostLeader_
+        && now - state.lostLeaderAt_ < lostLeaderDoubt;
+}
+
+// Notes whom a process names as the leader.
+void setLeader(NodeState &state, Instant now, const std::string &peer, const std::string &leader)
+{
+    if (isControl(state, leader) && !isOutdated(state, now, peer, leader))
         state.leader_ = leader;
 }
 
@@ -83,7 +93,7 @@
         state.leader_.clear(); // it no longer leads
         state.heartbeatAt_ = now;
     }
-    setLeader(state, reply.leader_);
+    setLeader(state, now, peer, reply.leader_);
     if (reply.update_) {
         if (const ViewPointer newer = updateView(*state.view_, *reply.update_)) {
             effects.push_back(DecisionLine{"decision=view node=" + state.settings_.name_
@@ -134,7 +144,7 @@
         return;
     const OutcomeKind kind = reply.outcome_.kind_;
     if (kind != OutcomeKind::NotLeader && kind != OutcomeKind::Unavailable) {
-        setLeader(state, peer);
+        setLeader(state, now, peer, peer);
         effects.push_back(ProposalAnswered{found->second.token_, reply.outcome_});
         state.proposals_.erase(found);
         return;
@@ -143,7 +153,7 @@
         state.leader_.clear();
     if (reply.leader_ == peer || reply.leader_.empty())
         return; // the resend timer tries another one
-    setLeader(state, reply.leader_);
+    setLeader(state, now, peer, reply.leader_);
     sendProposal(state, now, reply.sequence_, effects);
 }
 
@@ -155,11 +165,15 @@
     sendProposal(state, now, sequence, effects);
 }
 
-void onPeerLost(NodeState &state, const std::string &peer)
+void onPeerLost(NodeState &state, Instant now, const std::string &peer)
 {
     state.heartbeatSent_.erase(peer);
-    if (state.leader_ == peer)
+    if (state.leader_ == peer) {
         state.leader_.clear();
+        state.lostLeader_ = peer;
+        state.lostLeaderAt_ = now;
+        state.heartbeatAt_ = now; // its successor is looked for at once
+    }
     for (auto &[sequence, proposal] : state.proposals_) {
         if (proposal.sentTo_ == peer)
             proposal.resendAt_ = Instant{};
@@ -264,7 +278,7 @@
 {
     std::visit(Overloaded{
                    [&](const PeerMessage &e) { onPeerMessage(state, now, e, effects); },
-                   [&](const PeerLost &e) { onPeerLost(state, e.peer_); },
+                   [&](const PeerLost &e) { onPeerLost(state, now, e.peer_); },
                    [&](const SubmitProposal &e) { onSubmit(state, now, e, effects); },
                    [&](const AnnouncementChanged &e) {
                        state.upstream_ = e.upstream_;
--- a/packages/decision/src/scheduler/scheduler.cpp
+++ b/packages/decision/src/scheduler/scheduler.cpp
@@ -58,6 +58,29 @@
     return job;
 }
 
+// Goes on from what the scheduler before this one had made.
+void takeResults(SchedulerState &state, Instant now, Job &job, SchedulerEffects &effects)
+{
+    for (const PieceResult &result : job.request_.results_) {
+        if (result.stage_ >= job.stages_.size()
+            || result.piece_ >= job.stages_[result.stage_].pieces_.size()
+            || !findUpstream(state, result.upstream_))
+            continue;
+        StageWork &stage = job.stages_[result.stage_];
+        const PieceCapacity *capacity = piecesOf(state, stage.pool_);
+        const nanoseconds lifetime = capacity ? capacity->resultLifetime_ : nanoseconds(0);
+        if (result.age_ >= lifetime)
+            continue;
+        stage.pieces_[result.piece_] = Piece{PieceState::Done, result.handle_, result.upstream_, 0};
+        state.stageUpstreams_[result.upstream_].held_[result.handle_] =
+            HeldResult{stage.resultBytes_, now + lifetime - result.age_};
+    }
+    if (!job.request_.results_.empty())
+        addLine(effects, job,
+                "results_taken count=" + std::to_string(job.request_.results_.size()));
+    freeConsumed(state, now, job, effects);
+}
+
 // A request that comes again, because its engine refused it or failed.
 void planAgain(SchedulerState &state, Instant now, Job &job, const PlanRequest &request,
                SchedulerEffects &effects)
@@ -91,6 +114,7 @@
             planAgain(state, now, found->second, request, effects);
     } else {
         found = state.jobs_.emplace(id, makeJob(state, now, request)).first;
+        takeResults(state, now, found->second, effects);
     }
     Job &job = found->second;
     if (!poolsServed(state, job)) {
@@ -123,7 +147,8 @@
     if (found == state.jobs_.end())
         return;
     leaveEngine(state, now, found->second, end.engineFailed_);
-    freeAll(state, now, found->second, effects);
+    if (!end.moved_)
+        freeAll(state, now, found->second, effects);
     state.jobs_.erase(found);
 }
 
@@ -179,6 +204,23 @@
         HeldResult{call.resultBytes_[index], now + lifetime};
 }
 
+// Tells the entry what a call has made, for the scheduler after this one.
+void reportProgress(const StageCall &call, const JobId &id, const Job &job,
+                    SchedulerEffects &effects)
+{
+    PlanProgress progress{job.request_.id_, job.request_.round_, {}};
+    for (const PieceId &place : call.pieces_) {
+        if (place.job_ != id)
+            continue;
+        const Piece &piece = job.stages_[place.stage_].pieces_[place.piece_];
+        if (piece.state_ == PieceState::Done && piece.upstream_ == call.upstream_)
+            progress.results_.push_back(PieceResult{place.stage_, place.piece_, piece.upstream_,
+                                                    piece.handle_, nanoseconds(0)});
+    }
+    if (!progress.results_.empty())
+        effects.push_back(SendToPeer{id.entry_, std::move(progress)});
+}
+
 void afterCall(SchedulerState &state, Instant now, const StageCall &call, SchedulerEffects &effects)
 {
     std::set<JobId> touched;
@@ -200,6 +242,8 @@
         }
         freeConsumed(state, now, job, effects);
         tryGrant(state, now, id, job, effects);
+        if (!job.granted_)
+            reportProgress(call, id, job, effects);
     }
 }
 
--- a/packages/decision/tests/stage_model.hpp
+++ b/packages/decision/tests/stage_model.hpp
@@ -95,10 +95,24 @@
         request.pieceKey_ = "k";
         request.round_ = 1;
         arrived_[request.id_] = now_;
+        requests_[request.id_] = request;
         handle(asked_ % settings_.schedulers_, PeerMessage{"entry", request});
         return request.id_;
     }
 
+    /// @brief Its entry has a request planned by another scheduler from now on.
+    void move(const std::string &id, int from, int to)
+    {
+        PlanRequest request = requests_.at(id);
+        request.round_ = 2;
+        request.results_ = progress_[id];
+        PlanEnd end;
+        end.id_ = id;
+        end.moved_ = true;
+        handle(from, PeerMessage{"entry", end});
+        handle(to, PeerMessage{"entry", request});
+    }
+
     /// @brief Lets time pass.
     void run(milliseconds time)
     {
@@ -181,6 +195,8 @@
     std::map<std::string, Instant> refused_;
     std::map<std::string, PlanRefusal> refusals_;
     std::set<std::string> freed_; ///< handles
+    std::map<std::string, PlanRequest> requests_;
+    std::map<std::string, std::vector<PieceResult>> progress_; ///< by request id
 
 private:
     struct Running
@@ -219,6 +235,9 @@
             } else if (const auto *refusal = std::get_if<PlanRefusal>(&send->message_)) {
                 refused_.emplace(refusal->id_, now_);
                 refusals_[refusal->id_] = *refusal;
+            } else if (const auto *made = std::get_if<PlanProgress>(&send->message_)) {
+                auto &known = progress_[made->id_];
+                known.insert(known.end(), made->results_.begin(), made->results_.end());
             }
         } else if (const auto *free = std::get_if<FreeResults>(&effect)) {
             freed_.insert(free->handles_.begin(), free->handles_.end());
--- a/packages/decision/tests/unit-direct.cpp
+++ b/packages/decision/tests/unit-direct.cpp
@@ -319,6 +319,31 @@
             .empty());
 }
 
+// Two schedulers would each count on the whole time and room of the stage upstreams.
+BOOST_AUTO_TEST_CASE(requests_move_to_a_new_leader_with_what_was_made)
+{
+    Bench bench;
+    bench.call("stream");
+    bench.handle(PeerMessage{
+        "c1", PlanProgress{"id1", 1, {PieceResult{0, 2, "stage-1", "stage-1/a", nanoseconds(0)}}}});
+    bench.now_ += milliseconds(40);
+    ViewChanged view;
+    view.view_ = testView();
+    view.leader_ = "c2";
+    view.controlNames_ = {"c1", "c2"};
+    const auto sent = only<SendToPeer>(bench.handle(view));
+    BOOST_REQUIRE(sent.size() == 2u);
+    BOOST_TEST(sent[0].peer_ == "c1");
+    BOOST_TEST(std::get<PlanEnd>(sent[0].message_).moved_);
+    BOOST_TEST(sent[1].peer_ == "c2");
+    const auto &request = std::get<PlanRequest>(sent[1].message_);
+    BOOST_REQUIRE(request.results_.size() == 1u);
+    BOOST_TEST(request.results_[0].piece_ == 2u);
+    BOOST_TEST(request.results_[0].handle_ == "stage-1/a");
+    BOOST_TEST((request.results_[0].age_ == milliseconds(40)));
+    BOOST_TEST(!request.remake_);
+}
+
 // Entries that lose the leader at different moments and list the others in different orders still
 // meet at one scheduler, and don't go back to the lost one before it is named again.
 BOOST_AUTO_TEST_CASE(entries_without_a_leader_choose_the_same_scheduler)
--- a/packages/decision/tests/unit-node.cpp
+++ b/packages/decision/tests/unit-node.cpp
@@ -114,6 +114,40 @@
 
 // A leader that was cut off from the other control processes still answers nodes. A node that
 // stayed with it would miss what its successor has committed.
+// Followers go on naming a leader until they notice that it is gone.
+BOOST_AUTO_TEST_CASE(successor_of_a_lost_leader_is_looked_for_at_once)
+{
+    Bench bench;
+    bench.handle(Wake{});
+    HeartbeatReply led = Bench::reply(5, {});
+    led.granted_ = true;
+    led.share_ = 1;
+    led.shareLease_ = seconds(60);
+    bench.handle(PeerMessage{"c2", led});
+    BOOST_REQUIRE(bench.state_.leader_ == "c2");
+    bench.handle(Wake{});
+    bench.handle(PeerLost{"c2"});
+    BOOST_TEST((nextWake(bench.state_) <= bench.now_));
+    bench.handle(PeerMessage{"c1", Bench::reply(5, {})}); // names c2
+    BOOST_TEST(bench.state_.leader_ == "");
+    bench.handle(Wake{});
+    BOOST_TEST((nextWake(bench.state_) <= bench.now_ + milliseconds(100)));
+    HeartbeatReply newer = Bench::reply(5, {});
+    newer.leader_ = "c3";
+    bench.handle(PeerMessage{"c1", newer});
+    BOOST_TEST(bench.state_.leader_ == "c3");
+}
+
+BOOST_AUTO_TEST_CASE(lost_leader_that_is_back_and_leads_is_believed)
+{
+    Bench bench;
+    bench.handle(Wake{});
+    bench.handle(PeerMessage{"c2", Bench::reply(5, {})});
+    bench.handle(PeerLost{"c2"});
+    bench.handle(PeerMessage{"c2", Bench::reply(5, {})});
+    BOOST_TEST(bench.state_.leader_ == "c2");
+}
+
 BOOST_AUTO_TEST_CASE(process_that_no_longer_leads_is_left_at_once)
 {
     Bench bench;
--- a/packages/decision/tests/unit-scheduler.cpp
+++ b/packages/decision/tests/unit-scheduler.cpp
@@ -133,6 +133,44 @@
     BOOST_TEST(model.grants_.contains(id));
 }
 
+// A change of scheduler costs the calls under way, not what was made before.
+BOOST_AUTO_TEST_CASE(next_scheduler_goes_on_from_what_was_made)
+{
+    StageModelSettings settings;
+    settings.schedulers_ = 2;
+    StageModel model(settings);
+    const std::string id = model.ask(3, 2);
+    model.run(milliseconds(280)); // the first stage is done, the second one runs
+    BOOST_REQUIRE(model.progress_[id].size() == 3u);
+    const std::size_t before = model.calls_.size();
+    model.move(id, 1, 0);
+    BOOST_TEST(model.freed_.empty());
+    model.run(seconds(1));
+    BOOST_REQUIRE(model.grants_.contains(id));
+    for (std::size_t i = before; i < model.calls_.size(); ++i) {
+        for (const StageItem &item : model.calls_[i].items_) {
+            BOOST_TEST(item.stage_ == 1u);
+            BOOST_TEST(item.inputs_.size() == 3u);
+        }
+    }
+    BOOST_TEST(model.freed_.size() >= 5u); // every result was given back
+}
+
+BOOST_AUTO_TEST_CASE(results_that_have_run_out_are_not_taken_over)
+{
+    StageModelSettings settings;
+    settings.schedulers_ = 2;
+    StageModel model(settings);
+    const std::string id = model.ask(1, 1);
+    model.run(milliseconds(230));
+    BOOST_REQUIRE(model.progress_[id].size() == 1u);
+    model.progress_[id][0].age_ = seconds(5);
+    const std::size_t before = model.calls_.size();
+    model.move(id, 1, 0);
+    BOOST_REQUIRE(model.calls_.size() == before + 1);
+    BOOST_TEST(model.calls_.back().items_[0].stage_ == 0u);
+}
+
 BOOST_DATA_TEST_CASE(crashed_stage_upstream_costs_a_call_not_a_request, data::xrange(1, 6), seed)
 {
     StageModelSettings settings;
--- a/packages/wire/schema/fleet.capnp
+++ b/packages/wire/schema/fleet.capnp
@@ -526,6 +526,14 @@
   tokens @1 :UInt32;
 }
 
+struct PieceResult {
+  stage @0 :UInt32;
+  piece @1 :UInt32;
+  upstream @2 :Text;
+  handle @3 :Text;
+  age @4 :Int64;
+}
+
 struct PlanRequest {
   id @0 :Text;
   route @1 :Text;
@@ -542,6 +550,13 @@
   round @12 :UInt32;
   avoid @13 :List(Text);
   remake @14 :Bool;
+  results @15 :List(PieceResult);
+}
+
+struct PlanProgress {
+  id @0 :Text;
+  round @1 :UInt32;
+  results @2 :List(PieceResult);
 }
 
 struct PlanGrant {
@@ -571,6 +586,7 @@
   served @2 :Bool;
   detail @3 :Text;
   engineFailed @4 :Bool;
+  moved @5 :Bool;
 }
 
 struct Command {
@@ -619,5 +635,6 @@
     planRefusal @20 :PlanRefusal;
     planStarted @21 :PlanStarted;
     planEnd @22 :PlanEnd;
+    planProgress @23 :PlanProgress;
   }
 }
