Take an engine's time until the first token off the time that stages have

Change: admission adds the mean time at engines of the route; the order takes off the request's own, with what engines usually need beyond.

--- a/packages/decision/include/chervilspring/detail/scheduler/engine_plan.hpp
+++ b/packages/decision/include/chervilspring/detail/scheduler/engine_plan.hpp
@@ -11,6 +11,7 @@
 
 #include <deque>
 #include <map>
+#include <optional>
 #include <set>
 
 namespace chervilspring {
@@ -21,6 +22,7 @@
     std::uint32_t promptTokens_ = 0; ///< that the engine has to read, parts in memory left out
     std::uint32_t heldTokens_ = 0; ///< memory of the whole run
     Instant grantedAt_{};
+    nanoseconds expectedWait_{0}; ///< until its prompt is read
     bool started_ = false; ///< its prompt is read
 };
 
@@ -60,7 +62,8 @@
 void startRun(Engine &engine, const PlanRequest &request, const EngineCost &cost, Instant now);
 
 /// @brief Notes that a run's prompt has been read.
-void promptRead(Engine &engine, const std::string &request);
+/// @return how much longer than expected it took; none if the run isn't known or had started
+std::optional<nanoseconds> promptRead(Engine &engine, const std::string &request, Instant now);
 
 /// @brief Notes the end of a run.
 /// @param failed the engine didn't serve it
--- a/packages/decision/include/chervilspring/detail/scheduler/piece_plan.hpp
+++ b/packages/decision/include/chervilspring/detail/scheduler/piece_plan.hpp
@@ -58,6 +58,7 @@
     std::vector<StageWork> stages_;
     Instant arrivedAt_{};
     Instant objectiveAt_{};
+    nanoseconds engineTime_{0}; ///< expected, from the grant to the first token
     Instant deadlineAt_{};
     std::string target_; ///< data centre of the engine that it will probably run at
     std::string engine_; ///< where it runs, empty before the grant
@@ -185,6 +186,9 @@
 /// @brief Whether any piece of a request is being made or done.
 bool hasBegun(const Job &job);
 
+/// @brief When a request's stages have to be done so that its first token meets the objective.
+Instant stagesDueAt(const Job &job);
+
 /// @brief Whether a request can still meet its objective if nothing keeps it waiting.
 bool canBeOnTime(const Job &job, const Fleet &fleet, Instant now);
 
--- a/packages/decision/include/chervilspring/detail/scheduler/scheduler.hpp
+++ b/packages/decision/include/chervilspring/detail/scheduler/scheduler.hpp
@@ -8,6 +8,7 @@
 
 #include "chervilspring/detail/scheduler/engine_plan.hpp"
 #include "chervilspring/detail/scheduler/piece_plan.hpp"
+#include "chervilspring/detail/scheduler/time_estimate.hpp"
 #include "chervilspring/events.hpp"
 
 #include <deque>
@@ -70,6 +71,8 @@
     std::map<JobId, Job> jobs_;
     std::map<std::string, StageUpstream> stageUpstreams_; ///< by name
     EngineTable engines_;
+    std::map<std::string, TimeEstimate> startTimes_; ///< from grant to first token, by route
+    std::map<std::string, TimeEstimate> startOverruns_; ///< beyond an engine's cost, by pool
     std::map<std::uint64_t, StageCall> calls_;
     std::uint64_t nextCall_ = 1;
     Instant sweepAt_{};
--- a/packages/decision/src/scheduler/engine_plan.cpp
+++ b/packages/decision/src/scheduler/engine_plan.cpp
@@ -92,18 +92,20 @@
 
 void startRun(Engine &engine, const PlanRequest &request, const EngineCost &cost, Instant now)
 {
-    engine.runs_[request.id_] =
-        EngineRun{cost.unreadTokens_, request.promptTokens_ + request.outputTokens_, now, false};
+    engine.runs_[request.id_] = EngineRun{
+        cost.unreadTokens_, request.promptTokens_ + request.outputTokens_, now, cost.wait_, false};
     for (const PromptPart &part : request.parts_)
         engine.parts_[part.id_] = now;
     forgetOldParts(engine, now);
 }
 
-void promptRead(Engine &engine, const std::string &request)
+std::optional<nanoseconds> promptRead(Engine &engine, const std::string &request, Instant now)
 {
     const auto found = engine.runs_.find(request);
-    if (found != engine.runs_.end())
-        found->second.started_ = true;
+    if (found == engine.runs_.end() || found->second.started_)
+        return std::nullopt;
+    found->second.started_ = true;
+    return now - found->second.grantedAt_ - found->second.expectedWait_;
 }
 
 void endRun(Engine &engine, const std::string &request, bool failed, Instant now)
--- a/packages/decision/src/scheduler/piece_plan.cpp
+++ b/packages/decision/src/scheduler/piece_plan.cpp
@@ -133,9 +133,14 @@
     });
 }
 
+Instant stagesDueAt(const Job &job)
+{
+    return job.objectiveAt_ - job.engineTime_;
+}
+
 bool canBeOnTime(const Job &job, const Fleet &fleet, Instant now)
 {
-    return now + remainingTime(job, fleet) <= job.objectiveAt_;
+    return now + remainingTime(job, fleet) <= stagesDueAt(job);
 }
 
 std::uint64_t crossingBytes(const ReadyPiece &piece, const std::string &dataCenter)
@@ -171,9 +176,9 @@
                 continue;
             const nanoseconds rest = remainingTime(job, stage, view.fleet_);
             ReadyPiece item;
-            item.late_ = now + rest > job.objectiveAt_;
+            item.late_ = now + rest > stagesDueAt(job);
             item.priority_ = job.request_.priority_;
-            item.startBy_ = (item.late_ ? job.deadlineAt_ : job.objectiveAt_) - rest;
+            item.startBy_ = (item.late_ ? job.deadlineAt_ : stagesDueAt(job)) - rest;
             item.resultBytes_ = work.resultBytes_;
             item.transfers_ = inputBytes(job, stage, view);
             if (isFinal(job, stage) && !job.target_.empty())
--- a/packages/decision/src/scheduler/scheduler.cpp
+++ b/packages/decision/src/scheduler/scheduler.cpp
@@ -124,6 +124,7 @@
     EngineCost cost;
     if (const Upstream *engine = chooseEngine(state, job, now, cost))
         job.target_ = engine->dataCenter_;
+    job.engineTime_ = cost.wait_ + likelyTime(state.startOverruns_[request.pool_]);
     if (!hasBegun(job) && refuseLate(state, now, id, job, effects))
         return;
     tryGrant(state, now, id, job, effects);
@@ -136,7 +137,11 @@
     const auto found = state.jobs_.find(JobId{peer, started.id_});
     if (found == state.jobs_.end() || found->second.request_.round_ != started.round_)
         return;
-    promptRead(state.engines_[found->second.engine_], started.id_);
+    const Job &job = found->second;
+    if (const auto overrun = promptRead(state.engines_[job.engine_], started.id_, now)) {
+        noteTime(state.startOverruns_[job.request_.pool_], *overrun);
+        noteTime(state.startTimes_[job.request_.route_], now - job.grantedAt_);
+    }
     freeAll(state, now, found->second, effects);
 }
 
--- a/packages/decision/src/scheduler/scheduler_admission.cpp
+++ b/packages/decision/src/scheduler/scheduler_admission.cpp
@@ -47,8 +47,11 @@
 bool refuseLate(SchedulerState &state, Instant now, const JobId &id, const Job &job,
                 SchedulerEffects &effects)
 {
-    const nanoseconds predicted = predictedTime(state, job, now);
-    const nanoseconds alone = remainingTime(job, state.view_->fleet_);
+    // The usual time at an engine, not this request's own: long prompts would be refused before
+    // short ones, although the order of pieces gives them an earlier start.
+    const nanoseconds engine = meanTime(state.startTimes_[job.request_.route_]);
+    const nanoseconds predicted = predictedTime(state, job, now) + engine;
+    const nanoseconds alone = remainingTime(job, state.view_->fleet_) + engine;
     const nanoseconds untilDeadline = job.deadlineAt_ - now;
     const bool hopeless = predicted > untilDeadline;
     const bool crowdedOut = now + predicted > job.objectiveAt_ && predicted - alone > toleratedWait;
@@ -59,7 +62,8 @@
         return false;
     const nanoseconds clear = std::max(shortestRetry, predicted - alone);
     refuse(state, now, id, clear, hopeless ? "deadline" : "objective",
-           "predicted_ms=" + millisecondsText(predicted) + " alone_ms=" + millisecondsText(alone),
+           "predicted_ms=" + millisecondsText(predicted) + " alone_ms=" + millisecondsText(alone)
+               + " engine_ms=" + millisecondsText(engine),
            effects);
     return true;
 }
--- a/packages/decision/tests/unit-scheduler.cpp
+++ b/packages/decision/tests/unit-scheduler.cpp
@@ -250,6 +250,38 @@
 }
 
 // Results that are gone are no reason to leave the engine that has read the prompt.
+// What an engine needs until the first token comes off the time that the stages have.
+BOOST_AUTO_TEST_CASE(request_that_only_its_engine_makes_late_is_refused_in_a_burst)
+{
+    for (const bool slowEngine : {false, true}) {
+        StageModelSettings settings;
+        settings.objective_ = milliseconds(900);
+        settings.stageUpstreams_ = 1;
+        StageModel model(settings);
+        if (slowEngine)
+            noteTime(model.state().startTimes_["route"], milliseconds(200));
+        model.ask(4, 4);
+        const std::string second = model.ask(4, 4); // stages are done after 840 ms
+        model.run(seconds(2));
+        BOOST_TEST(model.refusals_.contains(second) == slowEngine);
+    }
+}
+
+BOOST_AUTO_TEST_CASE(time_is_estimated_from_what_was_measured)
+{
+    TimeEstimate estimate;
+    BOOST_TEST((likelyTime(estimate) == nanoseconds(0)));
+    for (int i = 0; i < 100; ++i)
+        noteTime(estimate, milliseconds(i % 2 ? 40 : 60));
+    BOOST_TEST((meanTime(estimate) >= milliseconds(48)));
+    BOOST_TEST((meanTime(estimate) <= milliseconds(52)));
+    BOOST_TEST((likelyTime(estimate) >= milliseconds(55)));
+    BOOST_TEST((likelyTime(estimate) <= milliseconds(65)));
+    for (int i = 0; i < 100; ++i)
+        noteTime(estimate, -milliseconds(50));
+    BOOST_TEST((likelyTime(estimate) == nanoseconds(0)));
+}
+
 BOOST_AUTO_TEST_CASE(engine_is_avoided_after_a_failure_but_not_for_inputs_that_are_gone)
 {
     for (const bool failed : {false, true}) {
