Give results back once fetched where room is scarce; learn what room a predecessor left taken

And after a change of scheduler, calls met room that results of the old one's calls still took (2,712 pieces found none). Ruled out: a pool short of upstreams: 90 % busy with calls of 17. Change: results go once the next stage has fetched them if a maker has no room for another full call; a scheduler that takes over waits 20 ms for the other requests, and learns from its first calls what room is taken.

--- a/packages/decision/include/chervilspring/detail/scheduler/piece_plan.hpp
+++ b/packages/decision/include/chervilspring/detail/scheduler/piece_plan.hpp
@@ -39,6 +39,7 @@
     std::string handle_; ///< of its result
     std::string upstream_; ///< that made it
     std::uint32_t failures_ = 0; ///< after which it may be the piece that is at fault
+    Instant startedAt_{}; ///< of the call that makes it
 };
 
 /// @brief A stage of one request.
@@ -83,6 +84,8 @@
     std::uint64_t reservedBytes_ = 0; ///< for the call under way
     Instant fullUntil_{}; ///< it had no room for a result
     double usableRoom_ = 1.0; ///< share of its room that this scheduler may count on
+    std::uint64_t strangeBytes_ = 0; ///< results that this scheduler doesn't know of
+    Instant strangeUntil_{}; ///< by then they have run out
     std::map<std::string, HeldResult> held_; ///< by handle
 };
 
@@ -195,6 +198,14 @@
 /// @brief Bytes that a stage upstream has free for further results.
 std::uint64_t freeRoom(const StageUpstream &upstream, const PieceCapacity &capacity, Instant now);
 
+/// @brief Bytes of results that this scheduler had made at an upstream, and of the call under way.
+std::uint64_t ownBytes(const StageUpstream &upstream, Instant now);
+
+/// @brief Notes results that this scheduler doesn't know of: those of calls of its predecessor.
+/// @param bytes that they take
+/// @param until when they have run out
+void noteStrangeResults(StageUpstream &upstream, std::uint64_t bytes, Instant until);
+
 /// @brief Notes that a result is given back; its room counts until the upstream has heard of it.
 void giveBack(StageUpstream &upstream, const std::string &handle, Instant now);
 
--- a/packages/decision/include/chervilspring/detail/scheduler/scheduler.hpp
+++ b/packages/decision/include/chervilspring/detail/scheduler/scheduler.hpp
@@ -59,6 +59,7 @@
     std::string upstream_;
     std::vector<PieceId> pieces_;
     std::vector<std::uint64_t> resultBytes_; ///< by piece
+    std::uint64_t bytesBefore_ = 0; ///< that this scheduler had at the upstream
     Instant startedAt_{};
     nanoseconds expected_{0};
 };
@@ -76,6 +77,8 @@
     std::map<std::uint64_t, StageCall> calls_;
     std::uint64_t nextCall_ = 1;
     Instant sweepAt_{};
+    Instant tookOverAt_{}; ///< from another scheduler
+    Instant dispatchAt_{}; ///< no calls are started before
 };
 
 /// @brief Handles one event.
--- a/packages/decision/include/chervilspring/detail/scheduler/scheduler_steps.hpp
+++ b/packages/decision/include/chervilspring/detail/scheduler/scheduler_steps.hpp
@@ -20,12 +20,19 @@
 /// @brief Gives all results of a request back.
 void freeAll(SchedulerState &state, Instant now, Job &job, SchedulerEffects &effects);
 
-/// @brief Gives results back that only stages need which are done by now.
+/// @brief From a grant or the start of a call until inputs have been fetched over the links.
+inline constexpr nanoseconds inputFetchTime = milliseconds(80);
+
+/// @brief Gives results back that only stages need which are done by now, or which have fetched
+/// them if a maker is short of room.
 void freeConsumed(SchedulerState &state, Instant now, Job &job, SchedulerEffects &effects);
 
 /// @brief Has the results of a stage made again.
 void remakeStage(StageWork &stage);
 
+/// @brief Has results made again that a stage needs and that were given back.
+void restoreInputs(Job &job, std::size_t stage);
+
 /// @brief Notes that a request no longer runs at its engine.
 void leaveEngine(SchedulerState &state, Instant now, Job &job, bool failed);
 
--- a/packages/decision/src/scheduler/piece_plan.cpp
+++ b/packages/decision/src/scheduler/piece_plan.cpp
@@ -224,15 +224,26 @@
     return taken;
 }
 
+std::uint64_t ownBytes(const StageUpstream &upstream, Instant now)
+{
+    std::uint64_t bytes = upstream.reservedBytes_;
+    for (const auto &[handle, result] : upstream.held_)
+        bytes += result.expiresAt_ > now ? result.bytes_ : 0;
+    return bytes;
+}
+
+void noteStrangeResults(StageUpstream &upstream, std::uint64_t bytes, Instant until)
+{
+    upstream.strangeBytes_ = bytes;
+    upstream.strangeUntil_ = until;
+}
+
 std::uint64_t freeRoom(const StageUpstream &upstream, const PieceCapacity &capacity, Instant now)
 {
     if (upstream.fullUntil_ > now)
         return 0;
-    std::uint64_t used = upstream.reservedBytes_;
-    for (const auto &[handle, result] : upstream.held_) {
-        if (result.expiresAt_ > now)
-            used += result.bytes_;
-    }
+    const std::uint64_t used =
+        ownBytes(upstream, now) + (upstream.strangeUntil_ > now ? upstream.strangeBytes_ : 0);
     const auto usable = static_cast<std::uint64_t>(static_cast<double>(capacity.resultBytes_)
                                                    * upstream.usableRoom_);
     return usable > used ? usable - used : 0;
--- a/packages/decision/src/scheduler/scheduler.cpp
+++ b/packages/decision/src/scheduler/scheduler.cpp
@@ -15,7 +15,8 @@
 constexpr double slownessWeight = 0.3; // of the newest call in the moving mean
 constexpr nanoseconds shortestRetry = milliseconds(100);
 constexpr nanoseconds noEngineRetry = milliseconds(500); // while no engine is known
-constexpr nanoseconds inputFetchTime = milliseconds(80); // a grant's way and a fetch over the links
+constexpr nanoseconds handOverTime = seconds(1); // within which all entries find a new scheduler
+constexpr nanoseconds takeOverPause = milliseconds(20); // a message's way, at most between regions
 constexpr nanoseconds forgetAfter = seconds(5); // past its deadline
 
 const char *failureText(ItemFailure failure)
@@ -58,6 +59,17 @@
     return job;
 }
 
+// A request that another scheduler planned before: more of them come within a moment, and the first
+// calls wait for them.
+void takeOver(SchedulerState &state, Instant now)
+{
+    if (now < state.tookOverAt_ + handOverTime)
+        return;
+    state.tookOverAt_ = now;
+    state.dispatchAt_ = now + takeOverPause;
+    state.sweepAt_ = std::min(state.sweepAt_, state.dispatchAt_);
+}
+
 // Goes on from what the scheduler before this one had made.
 void takeResults(SchedulerState &state, Instant now, Job &job, SchedulerEffects &effects)
 {
@@ -113,6 +125,8 @@
         if (request.round_ > found->second.request_.round_)
             planAgain(state, now, found->second, request, effects);
     } else {
+        if (request.round_ > 1)
+            takeOver(state, now);
         found = state.jobs_.emplace(id, makeJob(state, now, request)).first;
         takeResults(state, now, found->second, effects);
     }
@@ -164,10 +178,11 @@
     item.state_ = PieceState::Waiting;
     if (failure == ItemFailure::Error)
         ++item.failures_;
-    if (failure != ItemFailure::InputGone)
-        return;
-    for (const std::uint32_t before : job.stages_[stage].after_)
-        remakeStage(job.stages_[before]);
+    if (failure == ItemFailure::InputGone) {
+        for (const std::uint32_t before : job.stages_[stage].after_)
+            job.stages_[before].freed_ = true;
+    }
+    restoreInputs(job, stage);
 }
 
 void onItemDone(SchedulerState &state, Instant now, const StageCall &call, std::size_t index,
@@ -252,6 +267,26 @@
     }
 }
 
+// After a change of scheduler, room is missing that results of calls take whose answers went to the
+// scheduler before. What a call found tells how much.
+void onNoRoom(SchedulerState &state, Instant now, const StageCall &call,
+              const std::vector<StageItemResult> &items)
+{
+    StageUpstream &upstream = state.stageUpstreams_[call.upstream_];
+    const PieceCapacity *capacity = piecesOf(state, call.pool_);
+    const Instant runOut =
+        state.tookOverAt_ + (capacity ? capacity->resultLifetime_ : nanoseconds(0)) + handOverTime;
+    if (!capacity || state.tookOverAt_ == Instant{} || now >= runOut) {
+        noteNoRoom(upstream, now);
+        return;
+    }
+    std::uint64_t known = call.bytesBefore_;
+    for (std::size_t i = 0; i < items.size(); ++i)
+        known += items[i].failure_ == ItemFailure::None ? call.resultBytes_[i] : 0;
+    const std::uint64_t room = capacity->resultBytes_;
+    noteStrangeResults(upstream, room - std::min(known, room), runOut);
+}
+
 void onCallEnded(SchedulerState &state, Instant now, const StageCallEnded &event,
                  SchedulerEffects &effects)
 {
@@ -294,7 +329,7 @@
             return item.failure_ == ItemFailure::NoRoom;
         });
     if (full)
-        noteNoRoom(state.stageUpstreams_[call.upstream_], now);
+        onNoRoom(state, now, call, event.items_);
     else if (done)
         noteRoom(state.stageUpstreams_[call.upstream_]);
     afterCall(state, now, call, effects);
@@ -343,6 +378,8 @@
     if (now < state.sweepAt_)
         return;
     state.sweepAt_ = now + sweepInterval;
+    if (state.dispatchAt_ > now)
+        state.sweepAt_ = std::min(state.sweepAt_, state.dispatchAt_);
     std::vector<JobId> expired;
     std::vector<JobId> forgotten;
     for (auto &[id, job] : state.jobs_) {
@@ -353,10 +390,12 @@
                 forgotten.push_back(id);
             continue;
         }
-        if (now + remainingTime(job, state.view_->fleet_) > job.deadlineAt_)
+        if (now + remainingTime(job, state.view_->fleet_) > job.deadlineAt_) {
             expired.push_back(id);
-        else
-            tryGrant(state, now, id, job, effects);
+            continue;
+        }
+        freeConsumed(state, now, job, effects);
+        tryGrant(state, now, id, job, effects);
     }
     for (const JobId &id : expired)
         refuse(state, now, id, shortestRetry, "deadline",
--- a/packages/decision/src/scheduler/scheduler_calls.cpp
+++ b/packages/decision/src/scheduler/scheduler_calls.cpp
@@ -63,6 +63,7 @@
     call.pool_ = pool;
     call.upstream_ = upstream.name_;
     call.startedAt_ = now;
+    call.bytesBefore_ = ownBytes(maker, now);
     call.expected_ = callTime(capacity, pieces.size());
     StartStageCall start;
     start.call_ = state.nextCall_++;
@@ -70,7 +71,9 @@
     start.limit_ = call.expected_ * callLimitFactor + callSlack;
     for (const ReadyPiece &piece : pieces) {
         Job &job = state.jobs_.at(piece.id_.job_);
-        job.stages_[piece.id_.stage_].pieces_[piece.id_.piece_].state_ = PieceState::Running;
+        Piece &item = job.stages_[piece.id_.stage_].pieces_[piece.id_.piece_];
+        item.state_ = PieceState::Running;
+        item.startedAt_ = now;
         start.items_.push_back(makeItem(job, piece.id_, now));
         call.pieces_.push_back(piece.id_);
         call.resultBytes_.push_back(piece.resultBytes_);
@@ -126,6 +129,8 @@
 
 void dispatch(SchedulerState &state, Instant now, SchedulerEffects &effects)
 {
+    if (now < state.dispatchAt_)
+        return;
     for (const Pool &pool : state.view_->fleet_.pools_) {
         if (pool.pieces_)
             dispatchPool(state, now, pool.name_, *pool.pieces_, effects);
--- a/packages/decision/tests/stage_model.hpp
+++ b/packages/decision/tests/stage_model.hpp
@@ -18,6 +18,7 @@
     int stageUpstreams_ = 4; ///< of each of the two stage pools
     int engines_ = 4;
     std::uint32_t batch_ = 8;
+    std::uint64_t room_ = 100'000'000; ///< for results at each stage upstream
     milliseconds objective_{1500};
     milliseconds deadline_{6000};
     std::uint64_t seed_ = 1;
@@ -52,7 +53,7 @@
             pieces.batch_ = settings.batch_;
             pieces.callTime_ = milliseconds(200);
             pieces.pieceTime_ = milliseconds(20);
-            pieces.resultBytes_ = 100'000'000;
+            pieces.resultBytes_ = settings.room_;
             pieces.resultLifetime_ = seconds(4);
             pool.pieces_ = pieces;
             view->fleet_.pools_.push_back(pool);
--- a/packages/decision/tests/unit-scheduler.cpp
+++ b/packages/decision/tests/unit-scheduler.cpp
@@ -93,6 +93,49 @@
     BOOST_TEST(freeRoom(upstream, capacity, now + milliseconds(20)) == 100u);
 }
 
+// Results of a scheduler that is gone take room until they run out.
+BOOST_AUTO_TEST_CASE(room_that_a_predecessor_left_taken_is_learnt_from_the_first_call)
+{
+    StageModelSettings settings;
+    settings.schedulers_ = 2;
+    settings.stageUpstreams_ = 1;
+    settings.room_ = 8 * 60'000;
+    StageModel model(settings);
+    model.move(model.ask(4, 1), 1, 0);
+    model.run(milliseconds(30));
+    BOOST_REQUIRE(model.calls_.size() == 2u);
+    StageCallEnded ended;
+    ended.call_ = model.calls_[1].call_;
+    ended.end_ = StageCallEnd::Done;
+    ended.items_ = {
+        StageItemResult{"a", ItemFailure::None}, StageItemResult{"b", ItemFailure::None},
+        StageItemResult{{}, ItemFailure::NoRoom}, StageItemResult{{}, ItemFailure::NoRoom}};
+    model.handle(0, ended);
+    const StageUpstream &upstream = model.state(0).stageUpstreams_.at("first-1");
+    const PieceCapacity capacity =
+        *findByName(model.state(0).view_->fleet_.pools_, "first")->pieces_;
+    BOOST_TEST(freeRoom(upstream, capacity, model.now_) == 0u);
+    BOOST_TEST(freeRoom(upstream, capacity, model.now_ + seconds(6)) == 8 * 60'000u); // run out
+}
+
+BOOST_AUTO_TEST_CASE(first_calls_after_a_change_of_scheduler_wait_for_the_other_requests)
+{
+    StageModelSettings settings;
+    settings.schedulers_ = 2;
+    settings.stageUpstreams_ = 1;
+    StageModel model(settings);
+    const std::string one = model.ask(1, 0);
+    model.ask(1, 0); // at the other one
+    const std::string two = model.ask(2, 0);
+    const std::size_t before = model.calls_.size();
+    model.move(one, 1, 0);
+    model.run(milliseconds(5));
+    model.move(two, 1, 0);
+    model.run(seconds(1));
+    BOOST_REQUIRE(model.calls_.size() > before);
+    BOOST_TEST(model.calls_[before].items_.size() == 3u);
+}
+
 BOOST_AUTO_TEST_CASE(upstream_without_room_pauses_and_the_piece_is_not_at_fault)
 {
     StageModelSettings settings;
@@ -167,6 +210,7 @@
     model.progress_[id][0].age_ = seconds(5);
     const std::size_t before = model.calls_.size();
     model.move(id, 1, 0);
+    model.run(milliseconds(30));
     BOOST_REQUIRE(model.calls_.size() == before + 1);
     BOOST_TEST(model.calls_.back().items_[0].stage_ == 0u);
 }
@@ -250,6 +294,50 @@
 }
 
 // Results that are gone are no reason to leave the engine that has read the prompt.
+// Where room for results is scarce, they go once they have been fetched, and are made again if the
+// call that fetched them fails.
+BOOST_AUTO_TEST_CASE(results_are_given_back_once_fetched_if_room_is_scarce)
+{
+    StageModelSettings settings;
+    settings.stageUpstreams_ = 1;
+    settings.room_ = 500'000; // eight results of the first stage
+    StageModel model(settings);
+    const std::string id = model.ask(2, 1);
+    model.run(milliseconds(245)); // the first stage is done
+    BOOST_REQUIRE(model.calls_.size() == 2u);
+    BOOST_TEST(model.freed_.empty());
+    model.run(milliseconds(150)); // the second one runs on
+    BOOST_TEST(!model.granted_.contains(id));
+    BOOST_TEST(model.freed_.size() == 2u);
+    StageCallEnded ended;
+    ended.call_ = model.calls_[1].call_;
+    ended.end_ = StageCallEnd::Failed;
+    model.handle(0, ended);
+    BOOST_REQUIRE(model.calls_.size() == 3u);
+    BOOST_TEST(model.calls_[2].items_[0].stage_ == 0u);
+    BOOST_TEST(model.calls_[2].items_.size() == 2u);
+    model.run(seconds(2));
+    BOOST_TEST(model.grants_.contains(id));
+}
+
+BOOST_AUTO_TEST_CASE(results_are_kept_until_the_next_stage_is_done_if_there_is_room)
+{
+    StageModelSettings settings;
+    settings.stageUpstreams_ = 1;
+    StageModel model(settings);
+    model.ask(2, 1);
+    model.run(milliseconds(395));
+    BOOST_REQUIRE(model.calls_.size() == 2u);
+    BOOST_TEST(model.freed_.empty());
+    StageCallEnded ended;
+    ended.call_ = model.calls_[1].call_;
+    ended.end_ = StageCallEnd::Refused;
+    model.handle(0, ended);
+    model.run(milliseconds(150));
+    BOOST_REQUIRE(model.calls_.size() == 3u);
+    BOOST_TEST(model.calls_[2].items_[0].stage_ == 1u);
+}
+
 // What an engine needs until the first token comes off the time that the stages have.
 BOOST_AUTO_TEST_CASE(request_that_only_its_engine_makes_late_is_refused_in_a_burst)
 {
