--- a/packages/decision/include/chervilspring/detail/scheduler/scheduler_steps.hpp
+++ b/packages/decision/include/chervilspring/detail/scheduler/scheduler_steps.hpp
@@ -68,4 +68,24 @@
 void loseResultsOf(SchedulerState &state, const std::string &upstream, const std::string &reason,
                    SchedulerEffects &effects);
 
+/// @brief Notes that a request comes which another scheduler planned before.
+///
+/// More of them come within a moment, and the first calls wait for them.
+void takeOver(SchedulerState &state, Instant now);
+
+/// @brief Goes on from what the scheduler before this one had made for a request.
+void takeResults(SchedulerState &state, Instant now, Job &job, SchedulerEffects &effects);
+
+/// @brief Tells the entry what a call has made for a request, for the scheduler after this one.
+void reportProgress(const StageCall &call, const JobId &id, const Job &job,
+                    SchedulerEffects &effects);
+
+/// @brief Handles a call that found too little room.
+///
+/// After a change of scheduler, room is missing that results of calls take whose answers went to
+/// the scheduler before. What the call found tells how much.
+/// @param items results of the call
+void onNoRoom(SchedulerState &state, Instant now, const StageCall &call,
+              const std::vector<StageItemResult> &items);
+
 } // namespace chervilspring::scheduling
--- a/packages/decision/src/scheduler/scheduler.cpp
+++ b/packages/decision/src/scheduler/scheduler.cpp
@@ -15,8 +15,6 @@
 constexpr double slownessWeight = 0.3; // of the newest call in the moving mean
 constexpr nanoseconds shortestRetry = milliseconds(100);
 constexpr nanoseconds noEngineRetry = milliseconds(500); // while no engine is known
-constexpr nanoseconds handOverTime = seconds(1); // within which all entries find a new scheduler
-constexpr nanoseconds takeOverPause = milliseconds(20); // a message's way, at most between regions
 constexpr nanoseconds forgetAfter = seconds(5); // past its deadline
 
 const char *failureText(ItemFailure failure)
@@ -59,40 +57,6 @@
     return job;
 }
 
-// A request that another scheduler planned before: more of them come within a moment, and the first
-// calls wait for them.
-void takeOver(SchedulerState &state, Instant now)
-{
-    if (now < state.tookOverAt_ + handOverTime)
-        return;
-    state.tookOverAt_ = now;
-    state.dispatchAt_ = now + takeOverPause;
-    state.sweepAt_ = std::min(state.sweepAt_, state.dispatchAt_);
-}
-
-// Goes on from what the scheduler before this one had made.
-void takeResults(SchedulerState &state, Instant now, Job &job, SchedulerEffects &effects)
-{
-    for (const PieceResult &result : job.request_.results_) {
-        if (result.stage_ >= job.stages_.size()
-            || result.piece_ >= job.stages_[result.stage_].pieces_.size()
-            || !findUpstream(state, result.upstream_))
-            continue;
-        StageWork &stage = job.stages_[result.stage_];
-        const PieceCapacity *capacity = piecesOf(state, stage.pool_);
-        const nanoseconds lifetime = capacity ? capacity->resultLifetime_ : nanoseconds(0);
-        if (result.age_ >= lifetime)
-            continue;
-        stage.pieces_[result.piece_] = Piece{PieceState::Done, result.handle_, result.upstream_, 0};
-        state.stageUpstreams_[result.upstream_].held_[result.handle_] =
-            HeldResult{stage.resultBytes_, now + lifetime - result.age_};
-    }
-    if (!job.request_.results_.empty())
-        addLine(effects, job,
-                "results_taken count=" + std::to_string(job.request_.results_.size()));
-    freeConsumed(state, now, job, effects);
-}
-
 // A request that comes again, because its engine refused it or failed.
 void planAgain(SchedulerState &state, Instant now, Job &job, const PlanRequest &request,
                SchedulerEffects &effects)
@@ -224,23 +188,6 @@
         HeldResult{call.resultBytes_[index], now + lifetime};
 }
 
-// Tells the entry what a call has made, for the scheduler after this one.
-void reportProgress(const StageCall &call, const JobId &id, const Job &job,
-                    SchedulerEffects &effects)
-{
-    PlanProgress progress{job.request_.id_, job.request_.round_, {}};
-    for (const PieceId &place : call.pieces_) {
-        if (place.job_ != id)
-            continue;
-        const Piece &piece = job.stages_[place.stage_].pieces_[place.piece_];
-        if (piece.state_ == PieceState::Done && piece.upstream_ == call.upstream_)
-            progress.results_.push_back(PieceResult{place.stage_, place.piece_, piece.upstream_,
-                                                    piece.handle_, nanoseconds(0)});
-    }
-    if (!progress.results_.empty())
-        effects.push_back(SendToPeer{id.entry_, std::move(progress)});
-}
-
 void afterCall(SchedulerState &state, Instant now, const StageCall &call, SchedulerEffects &effects)
 {
     std::set<JobId> touched;
@@ -267,26 +214,6 @@
     }
 }
 
-// After a change of scheduler, room is missing that results of calls take whose answers went to the
-// scheduler before. What a call found tells how much.
-void onNoRoom(SchedulerState &state, Instant now, const StageCall &call,
-              const std::vector<StageItemResult> &items)
-{
-    StageUpstream &upstream = state.stageUpstreams_[call.upstream_];
-    const PieceCapacity *capacity = piecesOf(state, call.pool_);
-    const Instant runOut =
-        state.tookOverAt_ + (capacity ? capacity->resultLifetime_ : nanoseconds(0)) + handOverTime;
-    if (!capacity || state.tookOverAt_ == Instant{} || now >= runOut) {
-        noteNoRoom(upstream, now);
-        return;
-    }
-    std::uint64_t known = call.bytesBefore_;
-    for (std::size_t i = 0; i < items.size(); ++i)
-        known += items[i].failure_ == ItemFailure::None ? call.resultBytes_[i] : 0;
-    const std::uint64_t room = capacity->resultBytes_;
-    noteStrangeResults(upstream, room - std::min(known, room), runOut);
-}
-
 void onCallEnded(SchedulerState &state, Instant now, const StageCallEnded &event,
                  SchedulerEffects &effects)
 {
