--- a/packages/decision/include/chervilspring/detail/scheduler/piece_plan.hpp
+++ b/packages/decision/include/chervilspring/detail/scheduler/piece_plan.hpp
@@ -84,8 +84,8 @@
     std::uint64_t reservedBytes_ = 0; ///< for the call under way
     Instant fullUntil_{}; ///< it had no room for a result
     double usableRoom_ = 1.0; ///< share of its room that this scheduler may count on
-    std::uint64_t strangeBytes_ = 0; ///< results that this scheduler doesn't know of
-    Instant strangeUntil_{}; ///< by then they have run out
+    std::uint64_t unknownBytes_ = 0; ///< results that this scheduler doesn't know of
+    Instant unknownUntil_{}; ///< by then they have run out
     std::map<std::string, HeldResult> held_; ///< by handle
 };
 
@@ -204,7 +204,7 @@
 /// @brief Notes results that this scheduler doesn't know of: those of calls of its predecessor.
 /// @param bytes that they take
 /// @param until when they have run out
-void noteStrangeResults(StageUpstream &upstream, std::uint64_t bytes, Instant until);
+void noteUnknownResults(StageUpstream &upstream, std::uint64_t bytes, Instant until);
 
 /// @brief Notes that a result is given back; its room counts until the upstream has heard of it.
 void giveBack(StageUpstream &upstream, const std::string &handle, Instant now);
--- a/packages/decision/src/scheduler/piece_plan.cpp
+++ b/packages/decision/src/scheduler/piece_plan.cpp
@@ -232,10 +232,10 @@
     return bytes;
 }
 
-void noteStrangeResults(StageUpstream &upstream, std::uint64_t bytes, Instant until)
+void noteUnknownResults(StageUpstream &upstream, std::uint64_t bytes, Instant until)
 {
-    upstream.strangeBytes_ = bytes;
-    upstream.strangeUntil_ = until;
+    upstream.unknownBytes_ = bytes;
+    upstream.unknownUntil_ = until;
 }
 
 std::uint64_t freeRoom(const StageUpstream &upstream, const PieceCapacity &capacity, Instant now)
@@ -243,7 +243,7 @@
     if (upstream.fullUntil_ > now)
         return 0;
     const std::uint64_t used =
-        ownBytes(upstream, now) + (upstream.strangeUntil_ > now ? upstream.strangeBytes_ : 0);
+        ownBytes(upstream, now) + (upstream.unknownUntil_ > now ? upstream.unknownBytes_ : 0);
     const auto usable = static_cast<std::uint64_t>(static_cast<double>(capacity.resultBytes_)
                                                    * upstream.usableRoom_);
     return usable > used ? usable - used : 0;
--- a/packages/decision/src/scheduler/scheduler_takeover.cpp
+++ b/packages/decision/src/scheduler/scheduler_takeover.cpp
@@ -73,7 +73,7 @@
     for (std::size_t i = 0; i < items.size(); ++i)
         known += items[i].failure_ == ItemFailure::None ? call.resultBytes_[i] : 0;
     const std::uint64_t room = capacity->resultBytes_;
-    noteStrangeResults(upstream, room - std::min(known, room), runOut);
+    noteUnknownResults(upstream, room - std::min(known, room), runOut);
 }
 
 } // namespace chervilspring::scheduling
--- a/packages/decision/tests/stage_model.hpp
+++ b/packages/decision/tests/stage_model.hpp
@@ -175,6 +175,18 @@
             carryOut(index, effect);
     }
 
+    /// @brief A call ends before its time.
+    /// @param index of the scheduler that made it
+    void endCall(int index, const StartStageCall &call, StageCallEnd end,
+                 std::vector<StageItemResult> items = {})
+    {
+        StageCallEnded ended;
+        ended.call_ = call.call_;
+        ended.end_ = end;
+        ended.items_ = std::move(items);
+        handle(index, ended);
+    }
+
     /// @brief The upstream doesn't answer its call, and refuses connections from now on.
     void crash(const std::string &name) { crashed_.insert(name); }
 
--- a/packages/decision/tests/unit-scheduler.cpp
+++ b/packages/decision/tests/unit-scheduler.cpp
@@ -104,13 +104,10 @@
     model.move(model.ask(4, 1), 1, 0);
     model.run(milliseconds(30));
     BOOST_REQUIRE(model.calls_.size() == 2u);
-    StageCallEnded ended;
-    ended.call_ = model.calls_[1].call_;
-    ended.end_ = StageCallEnd::Done;
-    ended.items_ = {
-        StageItemResult{"a", ItemFailure::None}, StageItemResult{"b", ItemFailure::None},
-        StageItemResult{{}, ItemFailure::NoRoom}, StageItemResult{{}, ItemFailure::NoRoom}};
-    model.handle(0, ended);
+    model.endCall(0, model.calls_[1], StageCallEnd::Done,
+                  {StageItemResult{"a", ItemFailure::None}, StageItemResult{"b", ItemFailure::None},
+                   StageItemResult{{}, ItemFailure::NoRoom},
+                   StageItemResult{{}, ItemFailure::NoRoom}});
     const StageUpstream &upstream = model.state(0).stageUpstreams_.at("first-1");
     const PieceCapacity capacity =
         *findByName(model.state(0).view_->fleet_.pools_, "first")->pieces_;
@@ -145,11 +142,8 @@
     BOOST_REQUIRE(model.calls_.size() == 1u);
     for (int i = 0; i < 10; ++i) {
         const std::size_t before = model.calls_.size();
-        StageCallEnded ended;
-        ended.call_ = model.calls_.back().call_;
-        ended.end_ = StageCallEnd::Done;
-        ended.items_ = {StageItemResult{{}, ItemFailure::NoRoom}};
-        model.handle(0, ended);
+        model.endCall(0, model.calls_.back(), StageCallEnd::Done,
+                      {StageItemResult{{}, ItemFailure::NoRoom}});
         BOOST_TEST(model.calls_.size() == before); // not sent again at once
         model.now_ += milliseconds(200);
         model.handle(0, Wake{});
@@ -167,11 +161,8 @@
     model.run(milliseconds(230)); // the first stage is done, the second one runs
     BOOST_REQUIRE(model.calls_.size() == 2u);
     model.remove(model.calls_[0].upstream_.name_);
-    StageCallEnded ended;
-    ended.call_ = model.calls_[1].call_;
-    ended.end_ = StageCallEnd::Done;
-    ended.items_ = {StageItemResult{{}, ItemFailure::InputGone}};
-    model.handle(0, ended);
+    model.endCall(0, model.calls_[1], StageCallEnd::Done,
+                  {StageItemResult{{}, ItemFailure::InputGone}});
     model.run(seconds(3));
     BOOST_TEST(model.grants_.contains(id));
 }
@@ -309,10 +300,7 @@
     model.run(milliseconds(150)); // the second one runs on
     BOOST_TEST(!model.granted_.contains(id));
     BOOST_TEST(model.freed_.size() == 2u);
-    StageCallEnded ended;
-    ended.call_ = model.calls_[1].call_;
-    ended.end_ = StageCallEnd::Failed;
-    model.handle(0, ended);
+    model.endCall(0, model.calls_[1], StageCallEnd::Failed);
     BOOST_REQUIRE(model.calls_.size() == 3u);
     BOOST_TEST(model.calls_[2].items_[0].stage_ == 0u);
     BOOST_TEST(model.calls_[2].items_.size() == 2u);
@@ -329,10 +317,7 @@
     model.run(milliseconds(395));
     BOOST_REQUIRE(model.calls_.size() == 2u);
     BOOST_TEST(model.freed_.empty());
-    StageCallEnded ended;
-    ended.call_ = model.calls_[1].call_;
-    ended.end_ = StageCallEnd::Refused;
-    model.handle(0, ended);
+    model.endCall(0, model.calls_[1], StageCallEnd::Refused);
     model.run(milliseconds(150));
     BOOST_REQUIRE(model.calls_.size() == 3u);
     BOOST_TEST(model.calls_[2].items_[0].stage_ == 1u);
