Log what a refusal would wait for, why calls aren't full, and the scheduler's own lag

The logs couldn't tell waiting for more urgent kinds, a prediction that is too long, calls with empty places and a late scheduler apart. Now a refusal lists the wait for each pool and its more urgent part, a grant gives the predicted time beside the measured one, a call says what kept it from being full, and the scheduler reports its load and lag once a second, in a line and as histograms. No decision changes.

--- a/packages/decision/include/chervilspring/detail/scheduler/piece_plan.hpp
+++ b/packages/decision/include/chervilspring/detail/scheduler/piece_plan.hpp
@@ -63,6 +63,7 @@
     Instant deadlineAt_{};
     std::string target_; ///< data centre of the engine that it will probably run at
     std::string engine_; ///< where it runs, empty before the grant
+    nanoseconds predicted_{0}; ///< time until its stages are done, as admission saw it
     bool granted_ = false;
     Instant grantedAt_{};
 };
@@ -220,9 +221,16 @@
 std::size_t loseResults(Job &job, const std::string &upstream);
 
 /// @brief Pieces that will be made at a pool before those of a new request.
+struct Backlog
+{
+    std::size_t pieces_ = 0;
+    std::size_t moreUrgent_ = 0; ///< of these, the ones of requests with a higher priority
+};
+
+/// @brief Counts the pieces that will be made at a pool before those of a new request.
 /// @param job the new request, whose own pieces don't count
-std::size_t backlogBefore(const std::map<JobId, Job> &jobs, const std::string &pool, const Job &job,
-                          const Fleet &fleet, Instant now);
+Backlog backlogBefore(const std::map<JobId, Job> &jobs, const std::string &pool, const Job &job,
+                      const Fleet &fleet, Instant now);
 
 /// @brief Time in which a request's stages will be done, given how long its pools are taken.
 /// @param waits by pool, from now on
--- a/packages/decision/include/chervilspring/detail/scheduler/scheduler_steps.hpp
+++ b/packages/decision/include/chervilspring/detail/scheduler/scheduler_steps.hpp
@@ -56,9 +56,11 @@
 
 /// @brief Refuses a new request that the load would make late, as long as it can still come back.
 ///
+/// Notes the predicted time in the request. The line of a refusal lists for each pool the time that
+/// it is taken by what goes before, and the part of it that is due to a higher priority.
 /// What waits for nobody is taken even if it is late.
 /// @return whether it was refused
-bool refuseLate(SchedulerState &state, Instant now, const JobId &id, const Job &job,
+bool refuseLate(SchedulerState &state, Instant now, const JobId &id, Job &job,
                 SchedulerEffects &effects);
 
 /// @brief Whether every pool that a request needs has an upstream.
--- a/packages/decision/src/scheduler/piece_plan.cpp
+++ b/packages/decision/src/scheduler/piece_plan.cpp
@@ -284,10 +284,10 @@
     return lost;
 }
 
-std::size_t backlogBefore(const std::map<JobId, Job> &jobs, const std::string &pool, const Job &job,
-                          const Fleet &fleet, Instant now)
+Backlog backlogBefore(const std::map<JobId, Job> &jobs, const std::string &pool, const Job &job,
+                      const Fleet &fleet, Instant now)
 {
-    std::size_t count = 0;
+    Backlog backlog;
     for (const auto &[id, other] : jobs) {
         if (&other == &job || other.granted_ || other.request_.priority_ > job.request_.priority_)
             continue;
@@ -296,12 +296,15 @@
         for (const StageWork &stage : other.stages_) {
             if (stage.pool_ != pool)
                 continue;
-            count += static_cast<std::size_t>(
+            const auto waiting = static_cast<std::size_t>(
                 std::count_if(stage.pieces_.begin(), stage.pieces_.end(),
                               [](const Piece &p) { return p.state_ == PieceState::Waiting; }));
+            backlog.pieces_ += waiting;
+            if (other.request_.priority_ < job.request_.priority_)
+                backlog.moreUrgent_ += waiting;
         }
     }
-    return count;
+    return backlog;
 }
 
 nanoseconds finishTime(const Job &job, const Fleet &fleet,
--- a/packages/decision/src/scheduler/scheduler_admission.cpp
+++ b/packages/decision/src/scheduler/scheduler_admission.cpp
@@ -11,13 +11,18 @@
 constexpr nanoseconds shortestRetry = milliseconds(100);
 
 // Time for which a pool is taken by what goes before a new request.
-nanoseconds poolWait(const SchedulerState &state, const std::string &pool, const Job &job,
-                     Instant now)
+struct PoolWait
+{
+    nanoseconds time_{0};
+    nanoseconds moreUrgent_{0}; // of it, for requests with a higher priority
+};
+
+PoolWait poolWait(const SchedulerState &state, const std::string &pool, const Job &job, Instant now)
 {
     const PieceCapacity *capacity = piecesOf(state, pool);
     const auto list = state.upstreamsByPool_.find(pool);
     if (!capacity || list == state.upstreamsByPool_.end() || list->second.empty())
-        return nanoseconds(0);
+        return {};
     double perSecond = 0;
     for (const std::string &name : list->second) {
         const auto known = state.stageUpstreams_.find(name);
@@ -27,30 +32,47 @@
             std::chrono::duration<double>(callTime(*capacity, capacity->batch_)).count();
         perSecond += capacity->batch_ / (full * slowness);
     }
-    const auto pieces =
-        static_cast<double>(backlogBefore(state.jobs_, pool, job, state.view_->fleet_, now));
-    return nanoseconds(static_cast<std::int64_t>(pieces / perSecond * 1e9));
+    const Backlog backlog = backlogBefore(state.jobs_, pool, job, state.view_->fleet_, now);
+    const auto timeFor = [&](std::size_t pieces) {
+        return nanoseconds(
+            static_cast<std::int64_t>(static_cast<double>(pieces) / perSecond * 1e9));
+    };
+    return PoolWait{timeFor(backlog.pieces_), timeFor(backlog.moreUrgent_)};
 }
 
-nanoseconds predictedTime(const SchedulerState &state, const Job &job, Instant now)
+struct Prediction
+{
+    nanoseconds stages_{0}; // until all of them are done
+    std::string waits_; // by pool, for the log
+};
+
+Prediction predict(const SchedulerState &state, const Job &job, Instant now)
 {
+    Prediction prediction;
     std::map<std::string, nanoseconds> waits;
     for (const StageWork &stage : job.stages_) {
-        if (!stage.pieces_.empty() && !waits.contains(stage.pool_))
-            waits[stage.pool_] = poolWait(state, stage.pool_, job, now);
+        if (stage.pieces_.empty() || waits.contains(stage.pool_))
+            continue;
+        const PoolWait wait = poolWait(state, stage.pool_, job, now);
+        waits[stage.pool_] = wait.time_;
+        prediction.waits_ += (prediction.waits_.empty() ? "" : ",") + stage.pool_ + ":"
+            + millisecondsText(wait.time_) + "/" + millisecondsText(wait.moreUrgent_);
     }
-    return finishTime(job, state.view_->fleet_, waits);
+    prediction.stages_ = finishTime(job, state.view_->fleet_, waits);
+    return prediction;
 }
 
 } // namespace
 
-bool refuseLate(SchedulerState &state, Instant now, const JobId &id, const Job &job,
+bool refuseLate(SchedulerState &state, Instant now, const JobId &id, Job &job,
                 SchedulerEffects &effects)
 {
     // The usual time at an engine, not this request's own: long prompts would be refused before
     // short ones, although the order of pieces gives them an earlier start.
     const nanoseconds engine = meanTime(state.startTimes_[job.request_.route_]);
-    const nanoseconds predicted = predictedTime(state, job, now) + engine;
+    const Prediction prediction = predict(state, job, now);
+    job.predicted_ = prediction.stages_;
+    const nanoseconds predicted = prediction.stages_ + engine;
     const nanoseconds alone = remainingTime(job, state.view_->fleet_) + engine;
     const nanoseconds untilDeadline = job.deadlineAt_ - now;
     const bool hopeless = predicted > untilDeadline;
@@ -63,7 +85,7 @@
     const nanoseconds clear = std::max(shortestRetry, predicted - alone);
     refuse(state, now, id, clear, hopeless ? "deadline" : "objective",
            "predicted_ms=" + millisecondsText(predicted) + " alone_ms=" + millisecondsText(alone)
-               + " engine_ms=" + millisecondsText(engine),
+               + " engine_ms=" + millisecondsText(engine) + " waits=" + prediction.waits_,
            effects);
     return true;
 }
--- a/packages/decision/src/scheduler/scheduler_calls.cpp
+++ b/packages/decision/src/scheduler/scheduler_calls.cpp
@@ -54,9 +54,22 @@
     return item;
 }
 
+// Why a call has empty places while pieces wait.
+const char *shortOf(const PieceCapacity &capacity, std::size_t taken,
+                    const std::vector<ReadyPiece> &waiting, std::uint64_t roomLeft)
+{
+    if (waiting.empty() || taken >= capacity.batch_)
+        return "nothing";
+    const bool fits = std::any_of(waiting.begin(), waiting.end(), [&](const ReadyPiece &piece) {
+        return piece.resultBytes_ <= roomLeft;
+    });
+    return fits ? "places" : "room";
+}
+
 void startCall(SchedulerState &state, Instant now, const std::string &pool,
                const PieceCapacity &capacity, const Upstream &upstream,
-               const std::vector<ReadyPiece> &pieces, SchedulerEffects &effects)
+               const std::vector<ReadyPiece> &pieces, const std::vector<ReadyPiece> &waiting,
+               SchedulerEffects &effects)
 {
     StageUpstream &maker = state.stageUpstreams_[upstream.name_];
     StageCall call;
@@ -69,6 +82,7 @@
     start.call_ = state.nextCall_++;
     start.upstream_ = upstream;
     start.limit_ = call.expected_ * callLimitFactor + callSlack;
+    const std::uint64_t room = freeRoom(maker, capacity, now);
     for (const ReadyPiece &piece : pieces) {
         Job &job = state.jobs_.at(piece.id_.job_);
         Piece &item = job.stages_[piece.id_.stage_].pieces_[piece.id_.piece_];
@@ -83,7 +97,9 @@
     effects.push_back(DecisionLine{
         "decision=stage_call call=" + std::to_string(start.call_) + " pool=" + pool + " upstream="
         + upstream.name_ + " pieces=" + std::to_string(pieces.size()) + " first_request="
-        + pieces.front().id_.job_.request_ + " expected_ms=" + millisecondsText(call.expected_)});
+        + pieces.front().id_.job_.request_ + " expected_ms=" + millisecondsText(call.expected_)
+        + " waiting=" + std::to_string(waiting.size()) + " short_of="
+        + shortOf(capacity, pieces.size(), waiting, room - std::min(room, maker.reservedBytes_))});
     state.calls_[start.call_] = std::move(call);
     effects.push_back(std::move(start));
 }
@@ -121,7 +137,7 @@
         const std::uint64_t room = freeRoom(state.stageUpstreams_[upstream->name_], capacity, now);
         const auto pieces = takeForCall(ready, capacity.batch_, room, capacity.resultBytes_);
         if (!pieces.empty())
-            startCall(state, now, pool, capacity, *upstream, pieces, effects);
+            startCall(state, now, pool, capacity, *upstream, pieces, ready, effects);
     }
 }
 
--- a/packages/decision/src/scheduler/scheduler_grant.cpp
+++ b/packages/decision/src/scheduler/scheduler_grant.cpp
@@ -83,6 +83,7 @@
                 + std::to_string(cost.unreadTokens_) + " wait_ms=" + millisecondsText(cost.wait_)
                 + " crossing_bytes=" + std::to_string(cost.crossingBytes_)
                 + " stages_ms=" + millisecondsText(now - job.arrivedAt_)
+                + " predicted_ms=" + millisecondsText(job.predicted_)
                 + " view=" + std::to_string(state.view_->version_));
     effects.push_back(SendToPeer{id.entry_,
                                  PlanGrant{job.request_.id_, job.request_.round_, upstream->name_,
--- a/packages/server/include/chervilspring/detail/process/scheduler_thread.hpp
+++ b/packages/server/include/chervilspring/detail/process/scheduler_thread.hpp
@@ -5,6 +5,7 @@
 
 #include "chervilspring/detail/net/direct_protocol.hpp"
 #include "chervilspring/detail/net/peer_network.hpp"
+#include "chervilspring/detail/process/load_report.hpp"
 #include "chervilspring/detail/process/traffic_metrics.hpp"
 #include "chervilspring/detail/process/wake_timer.hpp"
 #include "chervilspring/settings.hpp"
@@ -32,6 +33,7 @@
 private:
     void handle(const SchedulerEvent &event);
     void carryOut(SchedulerEffects &effects);
+    void report(Instant began);
     boost::asio::awaitable<void> callStage(StartStageCall call);
     boost::asio::awaitable<void> freeResults(FreeResults results);
 
@@ -40,6 +42,7 @@
     TrafficMetrics &metrics_;
     boost::asio::io_context context_;
     SchedulerState state_;
+    LoadReport load_;
     PeerNetwork network_;
     HttpClient client_;
     WakeTimer timer_;
--- a/packages/server/src/scheduler_thread.cpp
+++ b/packages/server/src/scheduler_thread.cpp
@@ -51,9 +51,30 @@
 void SchedulerThread::handle(const SchedulerEvent &event)
 {
     SchedulerEffects effects;
-    reduce(state_, BootClock::now(), event, effects);
+    const Instant began = BootClock::now();
+    reduce(state_, began, event, effects);
     carryOut(effects);
     timer_.arm(nextWake(state_));
+    report(began);
+}
+
+void SchedulerThread::report(Instant began)
+{
+    const Instant now = BootClock::now();
+    noteEvent(load_, now - began);
+    metrics_.observe("scheduler_event_seconds", "", now - began);
+    if (!load_.probed_) {
+        load_.probed_ = true;
+        asio::post(context_, [this, now] {
+            const nanoseconds lag = BootClock::now() - now;
+            noteLag(load_, lag);
+            metrics_.observe("scheduler_lag_seconds", "", lag);
+        });
+    }
+    if (const auto text = takeReport(load_, now))
+        writeLog(LogLevel::Info,
+                 "scheduler load " + *text + " requests=" + std::to_string(state_.jobs_.size())
+                     + " calls=" + std::to_string(state_.calls_.size()));
 }
 
 void SchedulerThread::carryOut(SchedulerEffects &effects)
