Admission: wait for the next call of a pool, not for half a call

Prediction added half a full call for every loaded stage, whatever the number of servers: with 15 of them a call ends every 25 ms, and three stages cost 0.55 s that nobody waits.

--- a/packages/decision/include/chervilspring/detail/scheduler/piece_plan.hpp
+++ b/packages/decision/include/chervilspring/detail/scheduler/piece_plan.hpp
@@ -232,9 +232,16 @@
 Backlog backlogBefore(const std::map<JobId, Job> &jobs, const std::string &pool, const Job &job,
                       const Fleet &fleet, Instant now);
 
-/// @brief Time in which a request's stages will be done, given how long its pools are taken.
-/// @param waits by pool, from now on
+/// @brief How a pool is taken by what goes before a request.
+struct PoolLoad
+{
+    nanoseconds wait_{0}; ///< from now on
+    std::size_t upstreams_ = 1;
+};
+
+/// @brief Time in which a request's stages will be done, given how its pools are taken.
+/// @param loads by pool
 nanoseconds finishTime(const Job &job, const Fleet &fleet,
-                       const std::map<std::string, nanoseconds> &waits);
+                       const std::map<std::string, PoolLoad> &loads);
 
 } // namespace chervilspring
--- a/packages/decision/src/scheduler/piece_plan.cpp
+++ b/packages/decision/src/scheduler/piece_plan.cpp
@@ -42,13 +42,20 @@
     return callTime(*pool->pieces_, perCall);
 }
 
-// A loaded pool makes full calls; a piece that comes finds them half done on average.
+// A loaded pool makes full calls.
 nanoseconds fullCallTime(const StageWork &stage, const Fleet &fleet)
 {
     const Pool *pool = findByName(fleet.pools_, stage.pool_);
     return pool && pool->pieces_ ? callTime(*pool->pieces_, pool->pieces_->batch_) : nanoseconds(0);
 }
 
+// Mean time until the first of several calls ends that were started at any moment: the least of n
+// uniformly distributed rests.
+nanoseconds nextCallEnd(nanoseconds call, std::size_t upstreams)
+{
+    return call / static_cast<std::int64_t>(upstreams + 1);
+}
+
 } // namespace
 
 nanoseconds callTime(const PieceCapacity &capacity, std::size_t pieces)
@@ -308,7 +315,7 @@
 }
 
 nanoseconds finishTime(const Job &job, const Fleet &fleet,
-                       const std::map<std::string, nanoseconds> &waits)
+                       const std::map<std::string, PoolLoad> &loads)
 {
     std::vector<nanoseconds> finished(job.stages_.size(), nanoseconds(0));
     nanoseconds last(0);
@@ -317,12 +324,13 @@
         for (const std::uint32_t before : job.stages_[stage].after_)
             start = std::max(start, finished[before]);
         const StageWork &work = job.stages_[stage];
-        const auto wait = waits.find(work.pool_);
+        const auto load = loads.find(work.pool_);
         const bool loaded =
-            wait != waits.end() && wait->second > nanoseconds(0) && !stageDone(work);
+            load != loads.end() && load->second.wait_ > nanoseconds(0) && !stageDone(work);
         // The pool works on what is before this request while earlier stages are done.
         if (loaded)
-            start = std::max(start, wait->second) + fullCallTime(work, fleet) / 2;
+            start = std::max(start, load->second.wait_)
+                + nextCallEnd(fullCallTime(work, fleet), load->second.upstreams_);
         finished[stage] = start + (loaded ? fullCallTime(work, fleet) : stageTime(work, fleet));
         last = std::max(last, finished[stage]);
     }
--- a/packages/decision/src/scheduler/scheduler_admission.cpp
+++ b/packages/decision/src/scheduler/scheduler_admission.cpp
@@ -13,6 +13,7 @@
 // Time for which a pool is taken by what goes before a new request.
 struct PoolWait
 {
+    std::size_t upstreams_ = 1;
     nanoseconds time_{0};
     nanoseconds moreUrgent_{0}; // of it, for requests with a higher priority
 };
@@ -37,7 +38,7 @@
         return nanoseconds(
             static_cast<std::int64_t>(static_cast<double>(pieces) / perSecond * 1e9));
     };
-    return PoolWait{timeFor(backlog.pieces_), timeFor(backlog.moreUrgent_)};
+    return PoolWait{list->second.size(), timeFor(backlog.pieces_), timeFor(backlog.moreUrgent_)};
 }
 
 struct Prediction
@@ -49,16 +50,16 @@
 Prediction predict(const SchedulerState &state, const Job &job, Instant now)
 {
     Prediction prediction;
-    std::map<std::string, nanoseconds> waits;
+    std::map<std::string, PoolLoad> loads;
     for (const StageWork &stage : job.stages_) {
-        if (stage.pieces_.empty() || waits.contains(stage.pool_))
+        if (stage.pieces_.empty() || loads.contains(stage.pool_))
             continue;
         const PoolWait wait = poolWait(state, stage.pool_, job, now);
-        waits[stage.pool_] = wait.time_;
+        loads[stage.pool_] = PoolLoad{wait.time_, wait.upstreams_};
         prediction.waits_ += (prediction.waits_.empty() ? "" : ",") + stage.pool_ + ":"
             + millisecondsText(wait.time_) + "/" + millisecondsText(wait.moreUrgent_);
     }
-    prediction.stages_ = finishTime(job, state.view_->fleet_, waits);
+    prediction.stages_ = finishTime(job, state.view_->fleet_, loads);
     return prediction;
 }
 
