--- a/packages/decision/include/chervilspring/detail/scheduler/piece_plan.hpp
+++ b/packages/decision/include/chervilspring/detail/scheduler/piece_plan.hpp
@@ -178,9 +178,8 @@
 
 /// @brief Takes the pieces of the next call out of the ready ones.
 ///
-/// Requests whose pieces all fit come first: one that is split over calls holds room for its first
-/// results until the last one is made. The most urgent one is split if it never fits whole. Places
-/// that are left go to a part of the next request if its results are small against the room.
+/// Only requests whose pieces all fit are taken: one that is split over calls holds room for its
+/// first results until the last one is made. The most urgent one is split if it never fits whole.
 /// @param ready sorted by goesBefore(); what is taken is removed
 /// @param batch most pieces of a call
 /// @param room bytes that the upstream has for results now
--- a/packages/decision/src/scheduler/piece_plan.cpp
+++ b/packages/decision/src/scheduler/piece_plan.cpp
@@ -13,8 +13,6 @@
 constexpr double roomIncrease = 0.005; // for each call that found room
 constexpr double leastUsableRoom = 0.8;
 
-constexpr std::size_t callsOfResults = 2; // that fit into the room before requests are split
-
 constexpr nanoseconds costOfCrossing = milliseconds(400); // per MB: links are shared and priced
 constexpr double bytesPerMb = 1e6;
 
@@ -204,36 +202,6 @@
     return ready;
 }
 
-namespace {
-
-std::size_t fittingPieces(std::size_t places, std::uint64_t room, std::uint64_t bytes)
-{
-    return bytes == 0 ? places : std::min<std::size_t>(places, room / bytes);
-}
-
-// Moves the first pieces of the next request that may be split into the empty places of a call.
-void fillWithPart(std::vector<ReadyPiece> &taken, std::vector<ReadyPiece> &left, std::size_t batch,
-                  std::uint64_t room, std::uint64_t wholeRoom)
-{
-    const auto first = std::find_if(left.begin(), left.end(), [&](const ReadyPiece &piece) {
-        return callsOfResults * batch * piece.resultBytes_ <= wholeRoom;
-    });
-    if (first == left.end())
-        return;
-    const PieceId id = first->id_;
-    const auto end = std::find_if(first, left.end(), [&](const ReadyPiece &piece) {
-        return piece.id_.job_ != id.job_ || piece.id_.stage_ != id.stage_;
-    });
-    const auto wanted = static_cast<std::size_t>(end - first);
-    const std::size_t count =
-        std::min(wanted, fittingPieces(batch - taken.size(), room, first->resultBytes_));
-    const auto stop = first + static_cast<std::ptrdiff_t>(count);
-    taken.insert(taken.end(), std::make_move_iterator(first), std::make_move_iterator(stop));
-    left.erase(first, stop);
-}
-
-} // namespace
-
 std::vector<ReadyPiece> takeForCall(std::vector<ReadyPiece> &ready, std::size_t batch,
                                     std::uint64_t room, std::uint64_t wholeRoom)
 {
@@ -247,7 +215,8 @@
             ++end;
         const std::uint64_t bytes = ready[begin].resultBytes_;
         const std::size_t places = batch - taken.size();
-        const std::size_t fitting = fittingPieces(places, room, bytes);
+        const std::size_t fitting =
+            bytes == 0 ? places : std::min<std::size_t>(places, room / bytes);
         const std::size_t wanted = end - begin;
         const bool neverWhole = wanted > batch || wanted * bytes > wholeRoom;
         const bool split = taken.empty() && neverWhole;
@@ -258,7 +227,6 @@
         room -= bytes * count;
         begin = end;
     }
-    fillWithPart(taken, left, batch, room, wholeRoom);
     ready = std::move(left);
     return taken;
 }
--- a/packages/decision/tests/unit-scheduler.cpp
+++ b/packages/decision/tests/unit-scheduler.cpp
@@ -72,13 +72,10 @@
     add("a", 3);
     add("b", 6);
     add("c", 4);
-    auto ample = ready;
-    BOOST_TEST(takeForCall(ample, 8, 1000, 1000).size() == 8u); // a, c and one of b
-    BOOST_TEST(ample.size() == 5u);
-    const auto taken = takeForCall(ready, 8, 100, 100);
+    const auto taken = takeForCall(ready, 8, 1000, 1000);
     BOOST_TEST(taken.size() == 7u); // a and c
     BOOST_TEST(ready.size() == 6u); // b waits whole
-    BOOST_TEST(takeForCall(ready, 8, 25, 100).empty()); // room will be free again
+    BOOST_TEST(takeForCall(ready, 8, 25, 1000).empty()); // room will be free again
     const auto split = takeForCall(ready, 8, 25, 25);
     BOOST_TEST(split.size() == 2u); // it never fits whole
 }
