Scheduler: don't look through granted requests, upstreams and runs at each event

Each event went through all requests, those at an engine included, looked every maker of every input up in a list of about 100 upstreams, sorted pieces instead of stages with their transfers summed at each comparison, and summed all runs of all engines.

Requests at an engine are kept apart; a piece keeps its maker's data centre; times of stages are worked out once; ready stages are sorted with their urgency set before; engines keep sums; upstreams are found by binary search. No decision changes: the stage model's tests give the same figures to the request.

--- a/packages/decision/include/chervilspring/detail/scheduler/engine_plan.hpp
+++ b/packages/decision/include/chervilspring/detail/scheduler/engine_plan.hpp
@@ -30,6 +30,8 @@
 struct Engine
 {
     std::map<std::string, EngineRun> runs_; ///< by request id
+    std::uint64_t heldTokens_ = 0; ///< memory of all runs
+    std::uint64_t queuedTokens_ = 0; ///< that runs still have to read
     std::map<std::string, Instant> parts_; ///< prompt chains in memory, by digest; last use
     Avoidance avoidance_;
 };
--- a/packages/decision/include/chervilspring/detail/scheduler/piece_plan.hpp
+++ b/packages/decision/include/chervilspring/detail/scheduler/piece_plan.hpp
@@ -38,6 +38,7 @@
     PieceState state_ = PieceState::Waiting;
     std::string handle_; ///< of its result
     std::string upstream_; ///< that made it
+    std::string dataCenter_; ///< of its maker
     std::uint32_t failures_ = 0; ///< after which it may be the piece that is at fault
     Instant startedAt_{}; ///< of the call that makes it
 };
@@ -50,6 +51,8 @@
     std::uint64_t resultBytes_ = 0;
     std::vector<Piece> pieces_;
     bool freed_ = false; ///< its results were given back
+    nanoseconds call_{0}; ///< a lone call with all of its pieces, batch by batch
+    nanoseconds rest_{0}; ///< shortest time from its start until all stages after it are done
 };
 
 /// @brief A request whose stages are being done, or that runs at a model engine.
@@ -64,7 +67,6 @@
     std::string target_; ///< data centre of the engine that it will probably run at
     std::string engine_; ///< where it runs, empty before the grant
     nanoseconds predicted_{0}; ///< time until its stages are done, as admission saw it
-    bool granted_ = false;
     Instant grantedAt_{};
 };
 
@@ -143,38 +145,50 @@
 /// @brief Whether no other stage follows.
 bool isFinal(const Job &job, std::size_t stage);
 
-/// @brief Shortest time from the start of a stage until all stages are done.
+/// @brief Works out how long the stages of a request take alone.
 /// @param fleet has the pools' capacities
-nanoseconds remainingTime(const Job &job, std::size_t stage, const Fleet &fleet);
+void estimateStages(Job &job, const Fleet &fleet);
 
 /// @brief Shortest time until all stages that are not done yet are done.
-nanoseconds remainingTime(const Job &job, const Fleet &fleet);
+nanoseconds remainingTime(const Job &job);
 
-/// @brief A piece that could go into a call now.
-struct ReadyPiece
+/// @brief Pieces of one stage of a request that could go into a call now.
+struct ReadyStage
 {
-    PieceId id_;
-    bool late_ = false; ///< of a request that can't meet its objective and has nothing done yet
+    const JobId *job_ = nullptr; ///< valid as long as the request is being planned
+    std::uint32_t stage_ = 0;
+    std::vector<std::uint32_t> pieces_;
+    bool late_ = false; ///< its request can't meet its objective
     std::uint32_t priority_ = 0;
     Instant startBy_{}; ///< latest start that meets the objective, or the deadline if late
-    std::uint64_t resultBytes_ = 0;
+    Instant urgency_{}; ///< startBy_ as an upstream sees it, set by weighTransfers()
+    std::uint64_t resultBytes_ = 0; ///< of each piece
     std::map<std::string, std::uint64_t> transfers_; ///< bytes to or from each data centre
 };
 
+/// @brief A piece of a call.
+struct CallPiece
+{
+    PieceId id_;
+    std::uint64_t resultBytes_ = 0;
+};
+
 /// @brief Bytes that would cross data centres if an upstream made a piece.
 /// @param dataCenter of the upstream
-std::uint64_t crossingBytes(const ReadyPiece &piece, const std::string &dataCenter);
+std::uint64_t crossingBytes(const ReadyStage &stage, const std::string &dataCenter);
 
-/// @brief Order in which an upstream takes ready pieces.
+/// @brief Sets the urgency of stages for an upstream.
 ///
-/// A request that has begun holds room at its makers, so it goes on before others begin. Inputs
-/// that would have to come from another data centre count as if the piece were less urgent.
-/// @param dataCenter of the upstream
-bool goesBefore(const ReadyPiece &left, const ReadyPiece &right, const std::string &dataCenter);
+/// Inputs that would have to come from another data centre count as if a stage were less urgent.
+/// @param dataCenter of the upstream; empty: all bytes cross
+void weighTransfers(std::vector<ReadyStage> &ready, const std::string &dataCenter);
+
+/// @brief Order in which an upstream takes ready stages, by their urgency for it.
+bool goesBefore(const ReadyStage &left, const ReadyStage &right);
 
-/// @brief Ready pieces of a pool, in no particular order.
-std::vector<ReadyPiece> readyPieces(const std::map<JobId, Job> &jobs, const std::string &pool,
-                                    const View &view, Instant now);
+/// @brief Ready stages of a pool, in no particular order.
+std::vector<ReadyStage> readyStages(const std::map<JobId, Job> &jobs, const std::string &pool,
+                                    Instant now);
 
 /// @brief Takes the pieces of the next call out of the ready ones.
 ///
@@ -184,8 +198,8 @@
 /// @param batch most pieces of a call
 /// @param room bytes that the upstream has for results now
 /// @param wholeRoom bytes that it has when nothing is held
-std::vector<ReadyPiece> takeForCall(std::vector<ReadyPiece> &ready, std::size_t batch,
-                                    std::uint64_t room, std::uint64_t wholeRoom);
+std::vector<CallPiece> takeForCall(std::vector<ReadyStage> &ready, std::size_t batch,
+                                   std::uint64_t room, std::uint64_t wholeRoom);
 
 /// @brief Whether any piece of a request is being made or done.
 bool hasBegun(const Job &job);
@@ -194,7 +208,7 @@
 Instant stagesDueAt(const Job &job);
 
 /// @brief Whether a request can still meet its objective if nothing keeps it waiting.
-bool canBeOnTime(const Job &job, const Fleet &fleet, Instant now);
+bool canBeOnTime(const Job &job, Instant now);
 
 /// @brief Bytes that a stage upstream has free for further results.
 std::uint64_t freeRoom(const StageUpstream &upstream, const PieceCapacity &capacity, Instant now);
@@ -227,10 +241,10 @@
     std::size_t moreUrgent_ = 0; ///< of these, the ones of requests with a higher priority
 };
 
-/// @brief Counts the pieces that will be made at a pool before those of a new request.
+/// @brief Counts the pieces that will be made before those of a new request, by pool.
 /// @param job the new request, whose own pieces don't count
-Backlog backlogBefore(const std::map<JobId, Job> &jobs, const std::string &pool, const Job &job,
-                      const Fleet &fleet, Instant now);
+std::map<std::string, Backlog> backlogBefore(const std::map<JobId, Job> &jobs, const Job &job,
+                                             Instant now);
 
 /// @brief How a pool is taken by what goes before a request.
 struct PoolLoad
--- a/packages/decision/include/chervilspring/detail/scheduler/scheduler.hpp
+++ b/packages/decision/include/chervilspring/detail/scheduler/scheduler.hpp
@@ -65,11 +65,15 @@
 };
 
 /// @brief Whole state of a scheduler.
+///
+/// Each event looks through the requests that are being planned. Those at an engine are kept apart:
+/// they are many times more.
 struct SchedulerState
 {
     ViewPointer view_ = std::make_shared<const View>();
     std::map<std::string, std::vector<std::string>> upstreamsByPool_; ///< that take new work
-    std::map<JobId, Job> jobs_;
+    std::map<JobId, Job> jobs_; ///< requests that are being planned
+    std::map<JobId, Job> granted_; ///< requests that were handed to an engine
     std::map<std::string, StageUpstream> stageUpstreams_; ///< by name
     EngineTable engines_;
     std::map<std::string, TimeEstimate> startTimes_; ///< from grant to first token, by route
--- a/packages/decision/include/chervilspring/detail/scheduler/scheduler_steps.hpp
+++ b/packages/decision/include/chervilspring/detail/scheduler/scheduler_steps.hpp
@@ -14,6 +14,13 @@
 /// @return nullptr if the pool does not work on pieces
 const PieceCapacity *piecesOf(const SchedulerState &state, const std::string &pool);
 
+/// @brief Finds a request, whether it is being planned or was granted.
+/// @return nullptr if it isn't known
+Job *findJob(SchedulerState &state, const JobId &id);
+
+/// @brief Forgets a request.
+void forget(SchedulerState &state, const JobId &id);
+
 /// @brief Adds a decision line about a request.
 void addLine(SchedulerEffects &effects, const Job &job, const std::string &what);
 
@@ -48,7 +55,9 @@
                              EngineCost &chosenCost);
 
 /// @brief Hands a request whose stages are done to an engine.
-void tryGrant(SchedulerState &state, Instant now, const JobId &id, Job &job,
+/// @param id of a request that is being planned
+/// @return whether it was handed over, and isn't being planned any more
+bool tryGrant(SchedulerState &state, Instant now, const JobId &id, Job &job,
               SchedulerEffects &effects);
 
 /// @brief Starts calls at idle stage upstreams.
--- a/packages/decision/src/scheduler/engine_plan.cpp
+++ b/packages/decision/src/scheduler/engine_plan.cpp
@@ -44,6 +44,17 @@
                   [&](const auto &item) { return now - item.second > partLifetime; });
 }
 
+void removeRun(Engine &engine, const std::string &request)
+{
+    const auto found = engine.runs_.find(request);
+    if (found == engine.runs_.end())
+        return;
+    engine.heldTokens_ -= found->second.heldTokens_;
+    if (!found->second.started_)
+        engine.queuedTokens_ -= found->second.promptTokens_;
+    engine.runs_.erase(found);
+}
+
 // Requests with the same last shared part rank engines alike, whichever scheduler asks: a new one
 // finds the prompts where its predecessor had them read.
 std::uint64_t placementRank(const PlanRequest &request, const Upstream &upstream)
@@ -69,13 +80,9 @@
 {
     EngineCost cost;
     cost.unreadTokens_ = unreadTokens(engine, request, now);
-    std::uint64_t queuedTokens = 0;
-    std::uint64_t heldTokens = request.promptTokens_ + request.outputTokens_;
-    for (const auto &[id, run] : engine.runs_) {
-        heldTokens += run.heldTokens_;
-        if (!run.started_)
-            queuedTokens += run.promptTokens_;
-    }
+    const std::uint64_t queuedTokens = engine.queuedTokens_;
+    const std::uint64_t heldTokens =
+        engine.heldTokens_ + request.promptTokens_ + request.outputTokens_;
     cost.full_ = engine.runs_.size() >= capacity.slots_ || heldTokens > capacity.cacheTokens_;
     for (const auto &[dataCenter, bytes] : inputs) {
         if (dataCenter != upstream.dataCenter_)
@@ -92,8 +99,12 @@
 
 void startRun(Engine &engine, const PlanRequest &request, const EngineCost &cost, Instant now)
 {
-    engine.runs_[request.id_] = EngineRun{
-        cost.unreadTokens_, request.promptTokens_ + request.outputTokens_, now, cost.wait_, false};
+    removeRun(engine, request.id_);
+    const EngineRun run{cost.unreadTokens_, request.promptTokens_ + request.outputTokens_, now,
+                        cost.wait_, false};
+    engine.runs_[request.id_] = run;
+    engine.heldTokens_ += run.heldTokens_;
+    engine.queuedTokens_ += run.promptTokens_;
     for (const PromptPart &part : request.parts_)
         engine.parts_[part.id_] = now;
     forgetOldParts(engine, now);
@@ -105,12 +116,13 @@
     if (found == engine.runs_.end() || found->second.started_)
         return std::nullopt;
     found->second.started_ = true;
+    engine.queuedTokens_ -= found->second.promptTokens_;
     return now - found->second.grantedAt_ - found->second.expectedWait_;
 }
 
 void endRun(Engine &engine, const std::string &request, bool failed, Instant now)
 {
-    engine.runs_.erase(request);
+    removeRun(engine, request);
     if (failed)
         noteFailure(engine.avoidance_, firstAvoidance, now);
     else
--- a/packages/decision/src/scheduler/piece_plan.cpp
+++ b/packages/decision/src/scheduler/piece_plan.cpp
@@ -18,14 +18,13 @@
 
 // Bytes of a stage's inputs by the data centre of their makers. Each piece of a stage reads all of
 // them.
-std::map<std::string, std::uint64_t> inputBytes(const Job &job, std::size_t stage, const View &view)
+std::map<std::string, std::uint64_t> inputBytes(const Job &job, std::size_t stage)
 {
     std::map<std::string, std::uint64_t> bytes;
     for (const std::uint32_t before : job.stages_[stage].after_) {
         for (const Piece &piece : job.stages_[before].pieces_) {
-            const Upstream *maker = findByName(view.upstreams_, piece.upstream_);
-            if (maker)
-                bytes[maker->dataCenter_] += job.stages_[before].resultBytes_;
+            if (!piece.dataCenter_.empty())
+                bytes[piece.dataCenter_] += job.stages_[before].resultBytes_;
         }
     }
     return bytes;
@@ -35,7 +34,7 @@
 nanoseconds stageTime(const StageWork &stage, const Fleet &fleet)
 {
     const Pool *pool = findByName(fleet.pools_, stage.pool_);
-    if (!pool || !pool->pieces_ || stage.pieces_.empty() || stageDone(stage))
+    if (!pool || !pool->pieces_ || stage.pieces_.empty())
         return nanoseconds(0);
     const std::size_t perCall =
         std::min<std::size_t>(stage.pieces_.size(), std::max(1u, pool->pieces_->batch_));
@@ -111,23 +110,27 @@
     return handles;
 }
 
-nanoseconds remainingTime(const Job &job, std::size_t stage, const Fleet &fleet)
+void estimateStages(Job &job, const Fleet &fleet)
 {
-    nanoseconds longest(0);
-    for (std::size_t next = stage + 1; next < job.stages_.size(); ++next) {
-        const auto &after = job.stages_[next].after_;
-        if (std::find(after.begin(), after.end(), stage) != after.end())
-            longest = std::max(longest, remainingTime(job, next, fleet));
+    for (std::size_t stage = job.stages_.size(); stage-- > 0;) {
+        StageWork &work = job.stages_[stage];
+        nanoseconds longest(0);
+        for (std::size_t next = stage + 1; next < job.stages_.size(); ++next) {
+            const auto &after = job.stages_[next].after_;
+            if (std::find(after.begin(), after.end(), stage) != after.end())
+                longest = std::max(longest, job.stages_[next].rest_);
+        }
+        work.call_ = stageTime(work, fleet);
+        work.rest_ = work.call_ + longest;
     }
-    return stageTime(job.stages_[stage], fleet) + longest;
 }
 
-nanoseconds remainingTime(const Job &job, const Fleet &fleet)
+nanoseconds remainingTime(const Job &job)
 {
     nanoseconds longest(0);
-    for (std::size_t stage = 0; stage < job.stages_.size(); ++stage) {
-        if (!stageDone(job.stages_[stage]))
-            longest = std::max(longest, remainingTime(job, stage, fleet));
+    for (const StageWork &stage : job.stages_) {
+        if (stage.rest_ > longest && !stageDone(stage))
+            longest = stage.rest_;
     }
     return longest;
 }
@@ -145,89 +148,92 @@
     return job.objectiveAt_ - job.engineTime_;
 }
 
-bool canBeOnTime(const Job &job, const Fleet &fleet, Instant now)
+bool canBeOnTime(const Job &job, Instant now)
 {
-    return now + remainingTime(job, fleet) <= stagesDueAt(job);
+    return now + remainingTime(job) <= stagesDueAt(job);
 }
 
-std::uint64_t crossingBytes(const ReadyPiece &piece, const std::string &dataCenter)
+std::uint64_t crossingBytes(const ReadyStage &stage, const std::string &dataCenter)
 {
     std::uint64_t crossing = 0;
-    for (const auto &[place, bytes] : piece.transfers_)
+    for (const auto &[place, bytes] : stage.transfers_)
         crossing += place == dataCenter ? 0 : bytes;
     return crossing;
 }
 
-bool goesBefore(const ReadyPiece &left, const ReadyPiece &right, const std::string &dataCenter)
+void weighTransfers(std::vector<ReadyStage> &ready, const std::string &dataCenter)
 {
-    const auto urgency = [&](const ReadyPiece &piece) {
-        const double megabytes = static_cast<double>(crossingBytes(piece, dataCenter)) / bytesPerMb;
-        return piece.startBy_
+    for (ReadyStage &stage : ready) {
+        const double megabytes = static_cast<double>(crossingBytes(stage, dataCenter)) / bytesPerMb;
+        stage.urgency_ = stage.startBy_
             + nanoseconds(static_cast<std::int64_t>(megabytes * costOfCrossing.count()));
-    };
-    const auto key = [&](const ReadyPiece &piece) {
-        return std::make_tuple(piece.late_, piece.priority_, urgency(piece),
-                               std::tie(piece.id_.job_, piece.id_.stage_, piece.id_.piece_));
+    }
+}
+
+bool goesBefore(const ReadyStage &left, const ReadyStage &right)
+{
+    const auto key = [](const ReadyStage &stage) {
+        return std::tie(stage.late_, stage.priority_, stage.urgency_, *stage.job_, stage.stage_);
     };
     return key(left) < key(right);
 }
 
-std::vector<ReadyPiece> readyPieces(const std::map<JobId, Job> &jobs, const std::string &pool,
-                                    const View &view, Instant now)
+std::vector<ReadyStage> readyStages(const std::map<JobId, Job> &jobs, const std::string &pool,
+                                    Instant now)
 {
-    std::vector<ReadyPiece> ready;
+    std::vector<ReadyStage> ready;
     for (const auto &[id, job] : jobs) {
         for (std::size_t stage = 0; stage < job.stages_.size(); ++stage) {
             const StageWork &work = job.stages_[stage];
-            if (work.pool_ != pool || job.granted_ || !inputsReady(job, stage))
+            if (work.pool_ != pool)
                 continue;
-            const nanoseconds rest = remainingTime(job, stage, view.fleet_);
-            ReadyPiece item;
-            item.late_ = now + rest > stagesDueAt(job);
+            ReadyStage item;
+            for (std::size_t piece = 0; piece < work.pieces_.size(); ++piece) {
+                if (work.pieces_[piece].state_ == PieceState::Waiting)
+                    item.pieces_.push_back(static_cast<std::uint32_t>(piece));
+            }
+            if (item.pieces_.empty() || !inputsReady(job, stage))
+                continue;
+            item.job_ = &id;
+            item.stage_ = static_cast<std::uint32_t>(stage);
+            item.late_ = now + work.rest_ > stagesDueAt(job);
             item.priority_ = job.request_.priority_;
-            item.startBy_ = (item.late_ ? job.deadlineAt_ : stagesDueAt(job)) - rest;
+            item.startBy_ = (item.late_ ? job.deadlineAt_ : stagesDueAt(job)) - work.rest_;
             item.resultBytes_ = work.resultBytes_;
-            item.transfers_ = inputBytes(job, stage, view);
+            item.transfers_ = inputBytes(job, stage);
             if (isFinal(job, stage) && !job.target_.empty())
                 item.transfers_[job.target_] += work.resultBytes_;
-            for (std::size_t piece = 0; piece < work.pieces_.size(); ++piece) {
-                if (work.pieces_[piece].state_ != PieceState::Waiting)
-                    continue;
-                item.id_ = PieceId{id, static_cast<std::uint32_t>(stage),
-                                   static_cast<std::uint32_t>(piece)};
-                ready.push_back(item);
-            }
+            ready.push_back(std::move(item));
         }
     }
     return ready;
 }
 
-std::vector<ReadyPiece> takeForCall(std::vector<ReadyPiece> &ready, std::size_t batch,
-                                    std::uint64_t room, std::uint64_t wholeRoom)
+std::vector<CallPiece> takeForCall(std::vector<ReadyStage> &ready, std::size_t batch,
+                                   std::uint64_t room, std::uint64_t wholeRoom)
 {
-    std::vector<ReadyPiece> taken;
-    std::vector<ReadyPiece> left;
-    for (std::size_t begin = 0; begin < ready.size();) {
-        const PieceId &first = ready[begin].id_;
-        std::size_t end = begin + 1;
-        while (end < ready.size() && ready[end].id_.job_ == first.job_
-               && ready[end].id_.stage_ == first.stage_)
-            ++end;
-        const std::uint64_t bytes = ready[begin].resultBytes_;
+    std::vector<CallPiece> taken;
+    for (ReadyStage &stage : ready) {
+        const std::uint64_t bytes = stage.resultBytes_;
         const std::size_t places = batch - taken.size();
         const std::size_t fitting =
             bytes == 0 ? places : std::min<std::size_t>(places, room / bytes);
-        const std::size_t wanted = end - begin;
+        const std::size_t wanted = stage.pieces_.size();
         const bool neverWhole = wanted > batch || wanted * bytes > wholeRoom;
         const bool split = taken.empty() && neverWhole;
         const std::size_t count =
             split ? std::min(fitting, wanted) : (wanted <= fitting ? wanted : 0);
-        for (std::size_t i = begin; i < end; ++i)
-            (i < begin + count ? taken : left).push_back(std::move(ready[i]));
+        if (count == 0)
+            continue;
+        for (std::size_t i = 0; i < count; ++i)
+            taken.push_back(CallPiece{PieceId{*stage.job_, stage.stage_, stage.pieces_[i]}, bytes});
+        stage.pieces_.erase(stage.pieces_.begin(),
+                            stage.pieces_.begin() + static_cast<std::ptrdiff_t>(count));
         room -= bytes * count;
-        begin = end;
+        if (taken.size() == batch)
+            break;
     }
-    ready = std::move(left);
+    std::erase_if(ready, [](const ReadyStage &stage) { return stage.pieces_.empty(); });
     return taken;
 }
 
@@ -279,39 +285,44 @@
 {
     std::size_t lost = 0;
     for (StageWork &stage : job.stages_) {
-        if (stage.freed_ || job.granted_)
+        if (stage.freed_)
             continue;
         for (Piece &piece : stage.pieces_) {
             if (piece.state_ != PieceState::Done || piece.upstream_ != upstream)
                 continue;
-            piece = Piece{PieceState::Waiting, {}, {}, piece.failures_};
+            piece = Piece{PieceState::Waiting, {}, {}, {}, piece.failures_};
             ++lost;
         }
     }
     return lost;
 }
 
-Backlog backlogBefore(const std::map<JobId, Job> &jobs, const std::string &pool, const Job &job,
-                      const Fleet &fleet, Instant now)
+std::map<std::string, Backlog> backlogBefore(const std::map<JobId, Job> &jobs, const Job &job,
+                                             Instant now)
 {
-    Backlog backlog;
+    std::map<std::string, Backlog> backlogs;
+    for (const StageWork &stage : job.stages_) {
+        if (!stage.pieces_.empty())
+            backlogs[stage.pool_];
+    }
     for (const auto &[id, other] : jobs) {
-        if (&other == &job || other.granted_ || other.request_.priority_ > job.request_.priority_)
+        if (&other == &job || other.request_.priority_ > job.request_.priority_)
             continue;
-        if (!hasBegun(other) && !canBeOnTime(other, fleet, now))
+        if (!hasBegun(other) && !canBeOnTime(other, now))
             continue; // it goes behind
         for (const StageWork &stage : other.stages_) {
-            if (stage.pool_ != pool)
+            const auto backlog = backlogs.find(stage.pool_);
+            if (backlog == backlogs.end())
                 continue;
             const auto waiting = static_cast<std::size_t>(
                 std::count_if(stage.pieces_.begin(), stage.pieces_.end(),
                               [](const Piece &p) { return p.state_ == PieceState::Waiting; }));
-            backlog.pieces_ += waiting;
+            backlog->second.pieces_ += waiting;
             if (other.request_.priority_ < job.request_.priority_)
-                backlog.moreUrgent_ += waiting;
+                backlog->second.moreUrgent_ += waiting;
         }
     }
-    return backlog;
+    return backlogs;
 }
 
 nanoseconds finishTime(const Job &job, const Fleet &fleet,
@@ -331,7 +342,10 @@
         if (loaded)
             start = std::max(start, load->second.wait_)
                 + nextCallEnd(fullCallTime(work, fleet), load->second.upstreams_);
-        finished[stage] = start + (loaded ? fullCallTime(work, fleet) : stageTime(work, fleet));
+        nanoseconds call = loaded ? fullCallTime(work, fleet) : work.call_;
+        if (stageDone(work))
+            call = nanoseconds(0);
+        finished[stage] = start + call;
         last = std::max(last, finished[stage]);
     }
     return last;
--- a/packages/decision/src/scheduler/scheduler.cpp
+++ b/packages/decision/src/scheduler/scheduler.cpp
@@ -54,6 +54,7 @@
         stage.pieces_.resize(i < request.pieceCounts_.size() ? request.pieceCounts_[i] : 0);
         job.stages_.push_back(std::move(stage));
     }
+    estimateStages(job, state.view_->fleet_);
     return job;
 }
 
@@ -67,7 +68,6 @@
         != request.avoid_.end();
     leaveEngine(state, now, job, failed);
     job.request_ = request;
-    job.granted_ = false;
     job.objectiveAt_ = now + request.untilObjective_;
     job.deadlineAt_ = now + request.untilDeadline_;
     const bool gone = request.remake_
@@ -84,17 +84,20 @@
                    const PlanRequest &request, SchedulerEffects &effects)
 {
     const JobId id{peer, request.id_};
-    auto found = state.jobs_.find(id);
-    if (found != state.jobs_.end()) {
-        if (request.round_ > found->second.request_.round_)
-            planAgain(state, now, found->second, request, effects);
+    const Job *known = findJob(state, id);
+    if (known && request.round_ <= known->request_.round_)
+        return;
+    if (known) {
+        if (state.granted_.contains(id))
+            state.jobs_.insert(state.granted_.extract(id));
+        planAgain(state, now, state.jobs_.at(id), request, effects);
     } else {
         if (request.round_ > 1)
             takeOver(state, now);
-        found = state.jobs_.emplace(id, makeJob(state, now, request)).first;
-        takeResults(state, now, found->second, effects);
+        state.jobs_.emplace(id, makeJob(state, now, request));
+        takeResults(state, now, state.jobs_.at(id), effects);
     }
-    Job &job = found->second;
+    Job &job = state.jobs_.at(id);
     if (!poolsServed(state, job)) {
         refuse(state, now, id, noEngineRetry, "no_upstream", "", effects);
         return;
@@ -112,8 +115,8 @@
 void onPlanStarted(SchedulerState &state, Instant now, const std::string &peer,
                    const PlanStarted &started, SchedulerEffects &effects)
 {
-    const auto found = state.jobs_.find(JobId{peer, started.id_});
-    if (found == state.jobs_.end() || found->second.request_.round_ != started.round_)
+    const auto found = state.granted_.find(JobId{peer, started.id_});
+    if (found == state.granted_.end() || found->second.request_.round_ != started.round_)
         return;
     const Job &job = found->second;
     if (const auto overrun = promptRead(state.engines_[job.engine_], started.id_, now)) {
@@ -126,13 +129,14 @@
 void onPlanEnd(SchedulerState &state, Instant now, const std::string &peer, const PlanEnd &end,
                SchedulerEffects &effects)
 {
-    const auto found = state.jobs_.find(JobId{peer, end.id_});
-    if (found == state.jobs_.end())
+    const JobId id{peer, end.id_};
+    Job *job = findJob(state, id);
+    if (!job)
         return;
-    leaveEngine(state, now, found->second, end.engineFailed_);
+    leaveEngine(state, now, *job, end.engineFailed_);
     if (!end.moved_)
-        freeAll(state, now, found->second, effects);
-    state.jobs_.erase(found);
+        freeAll(state, now, *job, effects);
+    forget(state, id);
 }
 
 // An item without a result waits again, with whatever it needs made anew.
@@ -182,6 +186,7 @@
     piece->state_ = PieceState::Done;
     piece->handle_ = result.handle_;
     piece->upstream_ = call.upstream_;
+    piece->dataCenter_ = upstream ? upstream->dataCenter_ : std::string();
     const PieceCapacity *capacity = piecesOf(state, call.pool_);
     const nanoseconds lifetime = capacity ? capacity->resultLifetime_ : nanoseconds(0);
     state.stageUpstreams_[call.upstream_].held_[result.handle_] =
@@ -208,8 +213,7 @@
             continue;
         }
         freeConsumed(state, now, job, effects);
-        tryGrant(state, now, id, job, effects);
-        if (!job.granted_)
+        if (!tryGrant(state, now, id, job, effects))
             reportProgress(call, id, job, effects);
     }
 }
@@ -270,6 +274,8 @@
         if (!findUpstream(state, upstream.name_))
             loseResultsOf(state, upstream.name_, "gone", effects);
     }
+    for (auto &[id, job] : state.jobs_)
+        estimateStages(job, view->fleet_);
     state.upstreamsByPool_.clear();
     for (const auto &[pool, upstreams] : poolMembers(*view)) {
         auto &names = state.upstreamsByPool_[pool];
@@ -289,7 +295,7 @@
 {
     std::vector<JobId> dropped;
     for (const auto &[id, job] : state.jobs_) {
-        if (id.entry_ == peer && !job.granted_)
+        if (id.entry_ == peer)
             dropped.push_back(id);
     }
     for (const JobId &id : dropped) {
@@ -299,25 +305,13 @@
     }
 }
 
-// Refuses what can't be served any more and forgets granted requests whose entry never reported.
-void sweep(SchedulerState &state, Instant now, SchedulerEffects &effects)
+// Refuses what can't be served any more.
+void sweepPlanned(SchedulerState &state, Instant now, SchedulerEffects &effects)
 {
-    if (now < state.sweepAt_)
-        return;
-    state.sweepAt_ = now + sweepInterval;
-    if (state.dispatchAt_ > now)
-        state.sweepAt_ = std::min(state.sweepAt_, state.dispatchAt_);
     std::vector<JobId> expired;
-    std::vector<JobId> forgotten;
-    for (auto &[id, job] : state.jobs_) {
-        if (job.granted_) {
-            if (now > job.grantedAt_ + inputFetchTime)
-                freeAll(state, now, job, effects);
-            if (now > job.deadlineAt_ + forgetAfter)
-                forgotten.push_back(id);
-            continue;
-        }
-        if (now + remainingTime(job, state.view_->fleet_) > job.deadlineAt_) {
+    for (auto next = state.jobs_.begin(); next != state.jobs_.end();) {
+        auto &[id, job] = *next++; // a grant takes the request out
+        if (now + remainingTime(job) > job.deadlineAt_) {
             expired.push_back(id);
             continue;
         }
@@ -327,11 +321,33 @@
     for (const JobId &id : expired)
         refuse(state, now, id, shortestRetry, "deadline",
                "waited_ms=" + millisecondsText(now - state.jobs_.at(id).arrivedAt_), effects);
+}
+
+// Gives results back that engines have fetched, and forgets requests whose entry never reported.
+void sweepGranted(SchedulerState &state, Instant now, SchedulerEffects &effects)
+{
+    std::vector<JobId> forgotten;
+    for (auto &[id, job] : state.granted_) {
+        if (now > job.grantedAt_ + inputFetchTime)
+            freeAll(state, now, job, effects);
+        if (now > job.deadlineAt_ + forgetAfter)
+            forgotten.push_back(id);
+    }
     for (const JobId &id : forgotten) {
-        leaveEngine(state, now, state.jobs_.at(id), false);
-        freeAll(state, now, state.jobs_.at(id), effects);
-        state.jobs_.erase(id);
+        leaveEngine(state, now, state.granted_.at(id), false);
+        forget(state, id);
     }
+}
+
+void sweep(SchedulerState &state, Instant now, SchedulerEffects &effects)
+{
+    if (now < state.sweepAt_)
+        return;
+    state.sweepAt_ = now + sweepInterval;
+    if (state.dispatchAt_ > now)
+        state.sweepAt_ = std::min(state.sweepAt_, state.dispatchAt_);
+    sweepPlanned(state, now, effects);
+    sweepGranted(state, now, effects);
     dispatch(state, now, effects);
 }
 
@@ -356,7 +372,8 @@
 Instant nextWake(const SchedulerState &state)
 {
     constexpr nanoseconds longest = seconds(3600);
-    return state.jobs_.empty() ? state.sweepAt_ + longest : state.sweepAt_;
+    const bool idle = state.jobs_.empty() && state.granted_.empty();
+    return idle ? state.sweepAt_ + longest : state.sweepAt_;
 }
 
 void reduce(SchedulerState &state, Instant now, const SchedulerEvent &event,
--- a/packages/decision/src/scheduler/scheduler_admission.cpp
+++ b/packages/decision/src/scheduler/scheduler_admission.cpp
@@ -10,57 +10,65 @@
 constexpr double returnedShare = 0.5; // of the time left, within which a returned request is kept
 constexpr nanoseconds shortestRetry = milliseconds(100);
 
-// Time for which a pool is taken by what goes before a new request.
-struct PoolWait
+// Pieces that the upstreams of a pool make in a second if all calls are full.
+double fullRate(const SchedulerState &state, const PieceCapacity &capacity,
+                const std::vector<std::string> &upstreams)
 {
-    std::size_t upstreams_ = 1;
-    nanoseconds time_{0};
-    nanoseconds moreUrgent_{0}; // of it, for requests with a higher priority
-};
-
-PoolWait poolWait(const SchedulerState &state, const std::string &pool, const Job &job, Instant now)
-{
-    const PieceCapacity *capacity = piecesOf(state, pool);
-    const auto list = state.upstreamsByPool_.find(pool);
-    if (!capacity || list == state.upstreamsByPool_.end() || list->second.empty())
-        return {};
-    double perSecond = 0;
-    for (const std::string &name : list->second) {
+    const double full = std::chrono::duration<double>(callTime(capacity, capacity.batch_)).count();
+    double rate = 0;
+    for (const std::string &name : upstreams) {
         const auto known = state.stageUpstreams_.find(name);
         const double slowness =
             known == state.stageUpstreams_.end() ? 1.0 : known->second.slowness_;
-        const double full =
-            std::chrono::duration<double>(callTime(*capacity, capacity->batch_)).count();
-        perSecond += capacity->batch_ / (full * slowness);
+        rate += capacity.batch_ / (full * slowness);
     }
-    const Backlog backlog = backlogBefore(state.jobs_, pool, job, state.view_->fleet_, now);
-    const auto timeFor = [&](std::size_t pieces) {
-        return nanoseconds(
-            static_cast<std::int64_t>(static_cast<double>(pieces) / perSecond * 1e9));
-    };
-    return PoolWait{list->second.size(), timeFor(backlog.pieces_), timeFor(backlog.moreUrgent_)};
+    return rate;
 }
 
-struct Prediction
+nanoseconds timeFor(std::size_t pieces, double perSecond)
 {
-    nanoseconds stages_{0}; // until all of them are done
-    std::string waits_; // by pool, for the log
+    return nanoseconds(static_cast<std::int64_t>(static_cast<double>(pieces) / perSecond * 1e9));
+}
+
+struct PoolOutlook
+{
+    PoolLoad load_; // by what goes before a new request
+    nanoseconds moreUrgent_{0}; // of its wait, for requests that rank before it
 };
 
-Prediction predict(const SchedulerState &state, const Job &job, Instant now)
+using Outlooks = std::map<std::string, PoolOutlook>; // by pool
+
+Outlooks lookAhead(const SchedulerState &state, const Job &job, Instant now)
 {
-    Prediction prediction;
-    std::map<std::string, PoolLoad> loads;
-    for (const StageWork &stage : job.stages_) {
-        if (stage.pieces_.empty() || loads.contains(stage.pool_))
+    Outlooks outlooks;
+    for (const auto &[pool, backlog] : backlogBefore(state.jobs_, job, now)) {
+        const PieceCapacity *capacity = piecesOf(state, pool);
+        const auto upstreams = state.upstreamsByPool_.find(pool);
+        if (!capacity || upstreams == state.upstreamsByPool_.end() || upstreams->second.empty())
             continue;
-        const PoolWait wait = poolWait(state, stage.pool_, job, now);
-        loads[stage.pool_] = PoolLoad{wait.time_, wait.upstreams_};
-        prediction.waits_ += (prediction.waits_.empty() ? "" : ",") + stage.pool_ + ":"
-            + millisecondsText(wait.time_) + "/" + millisecondsText(wait.moreUrgent_);
+        const double rate = fullRate(state, *capacity, upstreams->second);
+        outlooks[pool] =
+            PoolOutlook{PoolLoad{timeFor(backlog.pieces_, rate), upstreams->second.size()},
+                        timeFor(backlog.moreUrgent_, rate)};
     }
-    prediction.stages_ = finishTime(job, state.view_->fleet_, loads);
-    return prediction;
+    return outlooks;
+}
+
+nanoseconds predictStages(const SchedulerState &state, const Job &job, const Outlooks &outlooks)
+{
+    std::map<std::string, PoolLoad> loads;
+    for (const auto &[pool, outlook] : outlooks)
+        loads[pool] = outlook.load_;
+    return finishTime(job, state.view_->fleet_, loads);
+}
+
+std::string waitsText(const Outlooks &outlooks)
+{
+    std::string text;
+    for (const auto &[pool, outlook] : outlooks)
+        text += (text.empty() ? "" : ",") + pool + ":" + millisecondsText(outlook.load_.wait_) + "/"
+            + millisecondsText(outlook.moreUrgent_);
+    return text;
 }
 
 } // namespace
@@ -71,10 +79,10 @@
     // The usual time at an engine, not this request's own: long prompts would be refused before
     // short ones, although the order of pieces gives them an earlier start.
     const nanoseconds engine = meanTime(state.startTimes_[job.request_.route_]);
-    const Prediction prediction = predict(state, job, now);
-    job.predicted_ = prediction.stages_;
-    const nanoseconds predicted = prediction.stages_ + engine;
-    const nanoseconds alone = remainingTime(job, state.view_->fleet_) + engine;
+    const Outlooks outlooks = lookAhead(state, job, now);
+    job.predicted_ = predictStages(state, job, outlooks);
+    const nanoseconds predicted = job.predicted_ + engine;
+    const nanoseconds alone = remainingTime(job) + engine;
     const nanoseconds untilDeadline = job.deadlineAt_ - now;
     const bool hopeless = predicted > untilDeadline;
     const bool crowdedOut = now + predicted > job.objectiveAt_ && predicted - alone > toleratedWait;
@@ -86,7 +94,7 @@
     const nanoseconds clear = std::max(shortestRetry, predicted - alone);
     refuse(state, now, id, clear, hopeless ? "deadline" : "objective",
            "predicted_ms=" + millisecondsText(predicted) + " alone_ms=" + millisecondsText(alone)
-               + " engine_ms=" + millisecondsText(engine) + " waits=" + prediction.waits_,
+               + " engine_ms=" + millisecondsText(engine) + " waits=" + waitsText(outlooks),
            effects);
     return true;
 }
--- a/packages/decision/src/scheduler/scheduler_calls.cpp
+++ b/packages/decision/src/scheduler/scheduler_calls.cpp
@@ -54,21 +54,29 @@
     return item;
 }
 
+std::size_t pieceCount(const std::vector<ReadyStage> &ready)
+{
+    std::size_t count = 0;
+    for (const ReadyStage &stage : ready)
+        count += stage.pieces_.size();
+    return count;
+}
+
 // Why a call has empty places while pieces wait.
 const char *shortOf(const PieceCapacity &capacity, std::size_t taken,
-                    const std::vector<ReadyPiece> &waiting, std::uint64_t roomLeft)
+                    const std::vector<ReadyStage> &waiting, std::uint64_t roomLeft)
 {
     if (waiting.empty() || taken >= capacity.batch_)
         return "nothing";
-    const bool fits = std::any_of(waiting.begin(), waiting.end(), [&](const ReadyPiece &piece) {
-        return piece.resultBytes_ <= roomLeft;
+    const bool fits = std::any_of(waiting.begin(), waiting.end(), [&](const ReadyStage &stage) {
+        return stage.resultBytes_ <= roomLeft;
     });
     return fits ? "places" : "room";
 }
 
 void startCall(SchedulerState &state, Instant now, const std::string &pool,
                const PieceCapacity &capacity, const Upstream &upstream,
-               const std::vector<ReadyPiece> &pieces, const std::vector<ReadyPiece> &waiting,
+               const std::vector<CallPiece> &pieces, const std::vector<ReadyStage> &waiting,
                SchedulerEffects &effects)
 {
     StageUpstream &maker = state.stageUpstreams_[upstream.name_];
@@ -83,7 +91,7 @@
     start.upstream_ = upstream;
     start.limit_ = call.expected_ * callLimitFactor + callSlack;
     const std::uint64_t room = freeRoom(maker, capacity, now);
-    for (const ReadyPiece &piece : pieces) {
+    for (const CallPiece &piece : pieces) {
         Job &job = state.jobs_.at(piece.id_.job_);
         Piece &item = job.stages_[piece.id_.stage_].pieces_[piece.id_.piece_];
         item.state_ = PieceState::Running;
@@ -98,20 +106,17 @@
         "decision=stage_call call=" + std::to_string(start.call_) + " pool=" + pool + " upstream="
         + upstream.name_ + " pieces=" + std::to_string(pieces.size()) + " first_request="
         + pieces.front().id_.job_.request_ + " expected_ms=" + millisecondsText(call.expected_)
-        + " waiting=" + std::to_string(waiting.size()) + " short_of="
+        + " waiting=" + std::to_string(pieceCount(waiting)) + " short_of="
         + shortOf(capacity, pieces.size(), waiting, room - std::min(room, maker.reservedBytes_))});
     state.calls_[start.call_] = std::move(call);
     effects.push_back(std::move(start));
 }
 
-// The idle upstream that the most urgent piece has its inputs next to; the fastest among equals.
-const Upstream *takeNearest(std::vector<const Upstream *> &idle,
-                            const std::vector<ReadyPiece> &ready)
+// The idle upstream that the most urgent stage has its inputs next to; the fastest among equals.
+const Upstream *takeNearest(std::vector<const Upstream *> &idle, std::vector<ReadyStage> &ready)
 {
-    const auto &first =
-        *std::min_element(ready.begin(), ready.end(), [](const ReadyPiece &a, const ReadyPiece &b) {
-            return goesBefore(a, b, {});
-        });
+    weighTransfers(ready, {});
+    const auto &first = *std::min_element(ready.begin(), ready.end(), goesBefore);
     const auto nearest =
         std::min_element(idle.begin(), idle.end(), [&](const Upstream *a, const Upstream *b) {
             return crossingBytes(first, a->dataCenter_) < crossingBytes(first, b->dataCenter_);
@@ -128,12 +133,11 @@
     auto idle = idleUpstreams(state, pool, now);
     if (idle.empty())
         return;
-    auto ready = readyPieces(state.jobs_, pool, *state.view_, now);
+    auto ready = readyStages(state.jobs_, pool, now);
     while (!idle.empty() && !ready.empty()) {
         const Upstream *upstream = takeNearest(idle, ready);
-        std::sort(ready.begin(), ready.end(), [&](const ReadyPiece &a, const ReadyPiece &b) {
-            return goesBefore(a, b, upstream->dataCenter_);
-        });
+        weighTransfers(ready, upstream->dataCenter_);
+        std::sort(ready.begin(), ready.end(), goesBefore);
         const std::uint64_t room = freeRoom(state.stageUpstreams_[upstream->name_], capacity, now);
         const auto pieces = takeForCall(ready, capacity.batch_, room, capacity.resultBytes_);
         if (!pieces.empty())
--- a/packages/decision/src/scheduler/scheduler_common.cpp
+++ b/packages/decision/src/scheduler/scheduler_common.cpp
@@ -6,7 +6,11 @@
 
 const Upstream *findUpstream(const SchedulerState &state, const std::string &name)
 {
-    return findByName(state.view_->upstreams_, name);
+    const auto &upstreams = state.view_->upstreams_; // sorted by name
+    const auto found = std::lower_bound(
+        upstreams.begin(), upstreams.end(), name,
+        [](const Upstream &upstream, const std::string &key) { return upstream.name_ < key; });
+    return found != upstreams.end() && found->name_ == name ? &*found : nullptr;
 }
 
 const PieceCapacity *piecesOf(const SchedulerState &state, const std::string &pool)
@@ -15,6 +19,21 @@
     return found && found->pieces_ ? &*found->pieces_ : nullptr;
 }
 
+Job *findJob(SchedulerState &state, const JobId &id)
+{
+    const auto planned = state.jobs_.find(id);
+    if (planned != state.jobs_.end())
+        return &planned->second;
+    const auto granted = state.granted_.find(id);
+    return granted == state.granted_.end() ? nullptr : &granted->second;
+}
+
+void forget(SchedulerState &state, const JobId &id)
+{
+    state.jobs_.erase(id);
+    state.granted_.erase(id);
+}
+
 void addLine(SchedulerEffects &effects, const Job &job, const std::string &what)
 {
     effects.push_back(DecisionLine{"decision=" + what + " request=" + job.request_.id_
--- a/packages/decision/src/scheduler/scheduler_grant.cpp
+++ b/packages/decision/src/scheduler/scheduler_grant.cpp
@@ -65,16 +65,15 @@
     return chosen;
 }
 
-void tryGrant(SchedulerState &state, Instant now, const JobId &id, Job &job,
+bool tryGrant(SchedulerState &state, Instant now, const JobId &id, Job &job,
               SchedulerEffects &effects)
 {
-    if (job.granted_ || !allDone(job))
-        return;
+    if (!allDone(job))
+        return false;
     EngineCost cost;
     const Upstream *upstream = chooseEngine(state, job, now, cost);
     if (!upstream)
-        return; // asked again with each sweep
-    job.granted_ = true;
+        return false; // asked again with each sweep
     job.grantedAt_ = now;
     job.engine_ = upstream->name_;
     startRun(state.engines_[upstream->name_], job.request_, cost, now);
@@ -88,6 +87,8 @@
     effects.push_back(SendToPeer{id.entry_,
                                  PlanGrant{job.request_.id_, job.request_.round_, upstream->name_,
                                            upstream->agentBoot_, finalHandles(job)}});
+    state.granted_.insert(state.jobs_.extract(id)); // the request stays where it is in memory
+    return true;
 }
 
 } // namespace chervilspring::scheduling
--- a/packages/decision/src/scheduler/scheduler_results.cpp
+++ b/packages/decision/src/scheduler/scheduler_results.cpp
@@ -89,7 +89,7 @@
     stage.freed_ = false;
     for (Piece &piece : stage.pieces_) {
         if (piece.state_ == PieceState::Done)
-            piece = Piece{PieceState::Waiting, {}, {}, piece.failures_};
+            piece = Piece{PieceState::Waiting, {}, {}, {}, piece.failures_};
     }
 }
 
--- a/packages/decision/src/scheduler/scheduler_takeover.cpp
+++ b/packages/decision/src/scheduler/scheduler_takeover.cpp
@@ -23,16 +23,17 @@
 void takeResults(SchedulerState &state, Instant now, Job &job, SchedulerEffects &effects)
 {
     for (const PieceResult &result : job.request_.results_) {
+        const Upstream *maker = findUpstream(state, result.upstream_);
         if (result.stage_ >= job.stages_.size()
-            || result.piece_ >= job.stages_[result.stage_].pieces_.size()
-            || !findUpstream(state, result.upstream_))
+            || result.piece_ >= job.stages_[result.stage_].pieces_.size() || !maker)
             continue;
         StageWork &stage = job.stages_[result.stage_];
         const PieceCapacity *capacity = piecesOf(state, stage.pool_);
         const nanoseconds lifetime = capacity ? capacity->resultLifetime_ : nanoseconds(0);
         if (result.age_ >= lifetime)
             continue;
-        stage.pieces_[result.piece_] = Piece{PieceState::Done, result.handle_, result.upstream_, 0};
+        stage.pieces_[result.piece_] =
+            Piece{PieceState::Done, result.handle_, result.upstream_, maker->dataCenter_, 0};
         state.stageUpstreams_[result.upstream_].held_[result.handle_] =
             HeldResult{stage.resultBytes_, now + lifetime - result.age_};
     }
--- a/packages/decision/tests/unit-scheduler.cpp
+++ b/packages/decision/tests/unit-scheduler.cpp
@@ -4,6 +4,9 @@
 #include <boost/test/data/monomorphic.hpp>
 #include <boost/test/data/test_case.hpp>
 
+#include <array>
+#include <numeric>
+
 namespace {
 
 using namespace chervilspring;
@@ -60,21 +63,23 @@
 // A request that is split over calls holds room until its last piece is made.
 BOOST_AUTO_TEST_CASE(call_takes_whole_requests_after_the_most_urgent_one)
 {
-    std::vector<ReadyPiece> ready;
-    const auto add = [&](const char *request, int pieces) {
-        for (int i = 0; i < pieces; ++i) {
-            ReadyPiece piece;
-            piece.id_ = PieceId{JobId{"e", request}, 0, static_cast<std::uint32_t>(i)};
-            piece.resultBytes_ = 10;
-            ready.push_back(piece);
-        }
+    const std::array<JobId, 3> ids = {JobId{"e", "a"}, JobId{"e", "b"}, JobId{"e", "c"}};
+    std::vector<ReadyStage> ready;
+    const auto add = [&](const JobId &id, std::uint32_t pieces) {
+        ReadyStage stage;
+        stage.job_ = &id;
+        stage.pieces_.resize(pieces);
+        std::iota(stage.pieces_.begin(), stage.pieces_.end(), 0u);
+        stage.resultBytes_ = 10;
+        ready.push_back(stage);
     };
-    add("a", 3);
-    add("b", 6);
-    add("c", 4);
+    add(ids[0], 3);
+    add(ids[1], 6);
+    add(ids[2], 4);
     const auto taken = takeForCall(ready, 8, 1000, 1000);
     BOOST_TEST(taken.size() == 7u); // a and c
-    BOOST_TEST(ready.size() == 6u); // b waits whole
+    BOOST_REQUIRE(ready.size() == 1u); // b waits whole
+    BOOST_TEST(ready[0].pieces_.size() == 6u);
     BOOST_TEST(takeForCall(ready, 8, 25, 1000).empty()); // room will be free again
     const auto split = takeForCall(ready, 8, 25, 25);
     BOOST_TEST(split.size() == 2u); // it never fits whole
@@ -400,17 +405,37 @@
         request.round_ = 1;
         SchedulerEffects effects;
         reduce(model.state(), model.now_, PeerMessage{"entry", request}, effects);
-        const std::string engine = model.state().jobs_.at(JobId{"entry", id}).engine_;
+        const std::string engine = model.state().granted_.at(JobId{"entry", id}).engine_;
         request.round_ = 2;
         request.remake_ = true;
         if (failed)
             request.avoid_ = {engine};
         reduce(model.state(), model.now_, PeerMessage{"entry", request}, effects);
-        const std::string next = model.state().jobs_.at(JobId{"entry", id}).engine_;
+        const std::string next = model.state().granted_.at(JobId{"entry", id}).engine_;
         BOOST_TEST((next == engine) == !failed);
     }
 }
 
+// Events look through jobs_; thousands of requests may be at engines.
+BOOST_AUTO_TEST_CASE(events_do_not_look_through_requests_at_engines)
+{
+    StageModel model({});
+    PlanRequest request;
+    request.id_ = "r1";
+    request.route_ = "route";
+    request.pool_ = "engine";
+    request.untilObjective_ = seconds(1);
+    request.untilDeadline_ = seconds(5);
+    request.pieceCounts_ = {0, 0};
+    request.round_ = 1;
+    SchedulerEffects effects;
+    reduce(model.state(), model.now_, PeerMessage{"entry", request}, effects);
+    BOOST_TEST(model.state().jobs_.empty());
+    BOOST_TEST(model.state().granted_.size() == 1u);
+    reduce(model.state(), model.now_, PeerMessage{"entry", PlanEnd{"r1", 1, true, ""}}, effects);
+    BOOST_TEST(model.state().granted_.empty());
+}
+
 BOOST_AUTO_TEST_CASE(entry_that_is_lost_takes_its_waiting_requests_along)
 {
     StageModel model({});
@@ -460,6 +485,27 @@
     BOOST_TEST(weighEngine(warm, left, capacity, again, {}, now).full_);
 }
 
+BOOST_AUTO_TEST_CASE(sums_of_an_engine_follow_its_runs)
+{
+    Engine engine;
+    const Instant now(seconds(50));
+    const PlanRequest one = promptOf("one");
+    const PlanRequest two = promptOf("two");
+    startRun(engine, one, EngineCost{3000}, now);
+    startRun(engine, two, EngineCost{500}, now);
+    startRun(engine, two, EngineCost{700}, now); // planned again
+    BOOST_TEST(engine.heldTokens_ == 18'000u);
+    BOOST_TEST(engine.queuedTokens_ == 3'700u);
+    promptRead(engine, one.id_, now);
+    promptRead(engine, one.id_, now);
+    BOOST_TEST(engine.queuedTokens_ == 700u);
+    endRun(engine, two.id_, false, now);
+    endRun(engine, two.id_, false, now);
+    endRun(engine, one.id_, true, now);
+    BOOST_TEST(engine.heldTokens_ == 0u);
+    BOOST_TEST(engine.queuedTokens_ == 0u);
+}
+
 // A scheduler that takes over knows no engine's memory; it has to guess as its predecessor did.
 BOOST_AUTO_TEST_CASE(two_schedulers_choose_the_same_engine_for_a_subject)
 {
--- a/packages/server/src/scheduler_thread.cpp
+++ b/packages/server/src/scheduler_thread.cpp
@@ -73,7 +73,8 @@
     }
     if (const auto text = takeReport(load_, now))
         writeLog(LogLevel::Info,
-                 "scheduler load " + *text + " requests=" + std::to_string(state_.jobs_.size())
+                 "scheduler load " + *text + " planned=" + std::to_string(state_.jobs_.size())
+                     + " granted=" + std::to_string(state_.granted_.size())
                      + " calls=" + std::to_string(state_.calls_.size()));
 }
 
