Scheduler: keep a share of the service for requests of low priority

Cause: priority alone decided, at admission and in calls.

Per priority the scheduler counts what was asked and served in time lately. A request that would be refused is promoted if its priority was served less than a third as often as those above; promoted ones go first, so the share holds whatever is asked above, and no more than the share is taken.

--- a/packages/decision/include/chervilspring/detail/scheduler/piece_plan.hpp
+++ b/packages/decision/include/chervilspring/detail/scheduler/piece_plan.hpp
@@ -66,6 +66,7 @@
     Instant deadlineAt_{};
     std::string target_; ///< data centre of the engine that it will probably run at
     std::string engine_; ///< where it runs, empty before the grant
+    bool promoted_ = false; ///< goes before all priorities: its own one was underserved
     nanoseconds predicted_{0}; ///< time until its stages are done, as admission saw it
     Instant grantedAt_{};
 };
@@ -159,7 +160,7 @@
     std::uint32_t stage_ = 0;
     std::vector<std::uint32_t> pieces_;
     bool late_ = false; ///< its request can't meet its objective
-    std::uint32_t priority_ = 0;
+    std::uint32_t rank_ = 0; ///< of its request
     Instant startBy_{}; ///< latest start that meets the objective, or the deadline if late
     Instant urgency_{}; ///< startBy_ as an upstream sees it, set by weighTransfers()
     std::uint64_t resultBytes_ = 0; ///< of each piece
@@ -201,6 +202,9 @@
 std::vector<CallPiece> takeForCall(std::vector<ReadyStage> &ready, std::size_t batch,
                                    std::uint64_t room, std::uint64_t wholeRoom);
 
+/// @brief Order of requests before their urgency: promoted ones, then by priority.
+std::uint32_t rankOf(const Job &job);
+
 /// @brief Whether any piece of a request is being made or done.
 bool hasBegun(const Job &job);
 
@@ -238,7 +242,7 @@
 struct Backlog
 {
     std::size_t pieces_ = 0;
-    std::size_t moreUrgent_ = 0; ///< of these, the ones of requests with a higher priority
+    std::size_t moreUrgent_ = 0; ///< of these, the ones of requests that rank before it
 };
 
 /// @brief Counts the pieces that will be made before those of a new request, by pool.
--- a/packages/decision/include/chervilspring/detail/scheduler/scheduler.hpp
+++ b/packages/decision/include/chervilspring/detail/scheduler/scheduler.hpp
@@ -8,6 +8,7 @@
 
 #include "chervilspring/detail/scheduler/engine_plan.hpp"
 #include "chervilspring/detail/scheduler/piece_plan.hpp"
+#include "chervilspring/detail/scheduler/service_share.hpp"
 #include "chervilspring/detail/scheduler/time_estimate.hpp"
 #include "chervilspring/events.hpp"
 
@@ -78,6 +79,7 @@
     EngineTable engines_;
     std::map<std::string, TimeEstimate> startTimes_; ///< from grant to first token, by route
     std::map<std::string, TimeEstimate> startOverruns_; ///< beyond an engine's cost, by pool
+    ServiceTable service_; ///< of new requests
     std::map<std::uint64_t, StageCall> calls_;
     std::uint64_t nextCall_ = 1;
     Instant sweepAt_{};
--- a/packages/decision/include/chervilspring/detail/scheduler/scheduler_steps.hpp
+++ b/packages/decision/include/chervilspring/detail/scheduler/scheduler_steps.hpp
@@ -65,13 +65,17 @@
 
 /// @brief Refuses a new request that the load would make late, as long as it can still come back.
 ///
-/// Notes the predicted time in the request. The line of a refusal lists for each pool the time that
-/// it is taken by what goes before, and the part of it that is due to a higher priority.
+/// A request of an underserved priority is promoted if it would be refused otherwise. Notes the
+/// predicted time in the request. The line of a refusal lists for each pool the time that it is
+/// taken by what goes before, and the part of it that is due to requests that rank before this one.
 /// What waits for nobody is taken even if it is late.
 /// @return whether it was refused
 bool refuseLate(SchedulerState &state, Instant now, const JobId &id, Job &job,
                 SchedulerEffects &effects);
 
+/// @brief Lets a request go before all priorities, because its own one is underserved.
+void promote(Job &job, const ServiceShares &shares, SchedulerEffects &effects);
+
 /// @brief Whether every pool that a request needs has an upstream.
 bool poolsServed(const SchedulerState &state, const Job &job);
 
--- a/packages/decision/src/scheduler/piece_plan.cpp
+++ b/packages/decision/src/scheduler/piece_plan.cpp
@@ -135,6 +135,11 @@
     return longest;
 }
 
+std::uint32_t rankOf(const Job &job)
+{
+    return job.promoted_ ? 0 : job.request_.priority_ + 1;
+}
+
 bool hasBegun(const Job &job)
 {
     return std::any_of(job.stages_.begin(), job.stages_.end(), [](const StageWork &stage) {
@@ -173,7 +178,7 @@
 bool goesBefore(const ReadyStage &left, const ReadyStage &right)
 {
     const auto key = [](const ReadyStage &stage) {
-        return std::tie(stage.late_, stage.priority_, stage.urgency_, *stage.job_, stage.stage_);
+        return std::tie(stage.late_, stage.rank_, stage.urgency_, *stage.job_, stage.stage_);
     };
     return key(left) < key(right);
 }
@@ -197,7 +202,7 @@
             item.job_ = &id;
             item.stage_ = static_cast<std::uint32_t>(stage);
             item.late_ = now + work.rest_ > stagesDueAt(job);
-            item.priority_ = job.request_.priority_;
+            item.rank_ = rankOf(job);
             item.startBy_ = (item.late_ ? job.deadlineAt_ : stagesDueAt(job)) - work.rest_;
             item.resultBytes_ = work.resultBytes_;
             item.transfers_ = inputBytes(job, stage);
@@ -306,7 +311,7 @@
             backlogs[stage.pool_];
     }
     for (const auto &[id, other] : jobs) {
-        if (&other == &job || other.request_.priority_ > job.request_.priority_)
+        if (&other == &job || rankOf(other) > rankOf(job))
             continue;
         if (!hasBegun(other) && !canBeOnTime(other, now))
             continue; // it goes behind
@@ -318,7 +323,7 @@
                 std::count_if(stage.pieces_.begin(), stage.pieces_.end(),
                               [](const Piece &p) { return p.state_ == PieceState::Waiting; }));
             backlog->second.pieces_ += waiting;
-            if (other.request_.priority_ < job.request_.priority_)
+            if (rankOf(other) < rankOf(job))
                 backlog->second.moreUrgent_ += waiting;
         }
     }
--- a/packages/decision/src/scheduler/scheduler_admission.cpp
+++ b/packages/decision/src/scheduler/scheduler_admission.cpp
@@ -71,34 +71,83 @@
     return text;
 }
 
-} // namespace
+// What comes of a new request if it is taken.
+struct Prospect
+{
+    Outlooks outlooks_;
+    nanoseconds stages_{0}; // until all of them are done
+    nanoseconds engine_{0}; // from then to the first token
+    nanoseconds alone_{0}; // both, without other requests
+    const char *refusal_ = nullptr; // why it is better refused, nullptr: it isn't
+};
 
-bool refuseLate(SchedulerState &state, Instant now, const JobId &id, Job &job,
-                SchedulerEffects &effects)
+Prospect predict(const SchedulerState &state, const Job &job, Instant now)
 {
+    Prospect prospect;
+    prospect.outlooks_ = lookAhead(state, job, now);
+    prospect.stages_ = predictStages(state, job, prospect.outlooks_);
     // The usual time at an engine, not this request's own: long prompts would be refused before
     // short ones, although the order of pieces gives them an earlier start.
-    const nanoseconds engine = meanTime(state.startTimes_[job.request_.route_]);
-    const Outlooks outlooks = lookAhead(state, job, now);
-    job.predicted_ = predictStages(state, job, outlooks);
-    const nanoseconds predicted = job.predicted_ + engine;
-    const nanoseconds alone = remainingTime(job) + engine;
+    const auto known = state.startTimes_.find(job.request_.route_);
+    prospect.engine_ = known == state.startTimes_.end() ? nanoseconds(0) : meanTime(known->second);
+    prospect.alone_ = remainingTime(job) + prospect.engine_;
+    const nanoseconds predicted = prospect.stages_ + prospect.engine_;
     const nanoseconds untilDeadline = job.deadlineAt_ - now;
-    const bool hopeless = predicted > untilDeadline;
-    const bool crowdedOut = now + predicted > job.objectiveAt_ && predicted - alone > toleratedWait;
-    const bool returned = now + alone > job.objectiveAt_; // late before it came
+    const bool crowdedOut =
+        now + predicted > job.objectiveAt_ && predicted - prospect.alone_ > toleratedWait;
+    const bool returned = now + prospect.alone_ > job.objectiveAt_; // late before it came
     const bool worthWaiting =
         returned && predicted.count() < static_cast<double>(untilDeadline.count()) * returnedShare;
-    if (!hopeless && (!crowdedOut || worthWaiting))
+    if (predicted > untilDeadline)
+        prospect.refusal_ = "deadline";
+    else if (crowdedOut && !worthWaiting)
+        prospect.refusal_ = "objective";
+    return prospect;
+}
+
+std::string percentText(double share)
+{
+    return std::to_string(static_cast<int>(share * 100));
+}
+
+} // namespace
+
+bool refuseLate(SchedulerState &state, Instant now, const JobId &id, Job &job,
+                SchedulerEffects &effects)
+{
+    const std::uint32_t priority = job.request_.priority_;
+    noteAsked(state.service_, priority, now);
+    Prospect prospect = predict(state, job, now);
+    const ServiceShares shares = serviceShares(state.service_, priority, now);
+    if (prospect.refusal_ && isUnderserved(shares)) {
+        promote(job, shares, effects);
+        prospect = predict(state, job, now);
+    }
+    job.predicted_ = prospect.stages_;
+    if (!prospect.refusal_) {
+        // What goes before all others will be served; counting it only then would promote too many.
+        if (job.promoted_)
+            noteServed(state.service_, priority, now);
         return false;
-    const nanoseconds clear = std::max(shortestRetry, predicted - alone);
-    refuse(state, now, id, clear, hopeless ? "deadline" : "objective",
-           "predicted_ms=" + millisecondsText(predicted) + " alone_ms=" + millisecondsText(alone)
-               + " engine_ms=" + millisecondsText(engine) + " waits=" + waitsText(outlooks),
+    }
+    const nanoseconds predicted = prospect.stages_ + prospect.engine_;
+    const nanoseconds clear = std::max(shortestRetry, predicted - prospect.alone_);
+    refuse(state, now, id, clear, prospect.refusal_,
+           "predicted_ms=" + millisecondsText(predicted)
+               + " alone_ms=" + millisecondsText(prospect.alone_) + " engine_ms="
+               + millisecondsText(prospect.engine_) + " waits=" + waitsText(prospect.outlooks_),
            effects);
     return true;
 }
 
+void promote(Job &job, const ServiceShares &shares, SchedulerEffects &effects)
+{
+    job.promoted_ = true;
+    addLine(effects, job,
+            "promote priority=" + std::to_string(job.request_.priority_) + " own_percent="
+                + percentText(shares.own_) + " above_percent=" + percentText(shares.above_));
+}
+
 bool poolsServed(const SchedulerState &state, const Job &job)
 {
     const auto served = [&](const std::string &pool) {
--- a/packages/decision/src/scheduler/scheduler_grant.cpp
+++ b/packages/decision/src/scheduler/scheduler_grant.cpp
@@ -74,6 +74,8 @@
     const Upstream *upstream = chooseEngine(state, job, now, cost);
     if (!upstream)
         return false; // asked again with each sweep
+    if (!job.promoted_ && job.grantedAt_ == Instant{} && now <= stagesDueAt(job))
+        noteServed(state.service_, job.request_.priority_, now);
     job.grantedAt_ = now;
     job.engine_ = upstream->name_;
     startRun(state.engines_[upstream->name_], job.request_, cost, now);
