Bound what is read from a server: body, chunk line, trailer, event, and all answers together

What callers would see: one upstream that sends bytes without end takes an entry's or a control process's memory until it is killed, and with it every request there. Of a 200 answer, chunk lines and trailers were read without any bound, an event without an end was kept whole and searched from its start for each piece, a stage call took up to 64 MB, and entries held 8 MB for each answer without a bound on all of them. Heads had a bound.

Now at most 64 KiB are read without being understood, on connections to servers, of servers' own calls and of callers; an event ends at 256 KiB and is searched once; a stage call's answer is bounded by its pieces; an entry holds 32 MB of answers, and none that announces more than 8 MB. The time was bounded by the call or the request's deadline, and is.

--- a/packages/server/include/chervilspring/detail/net/event_splitter.hpp
+++ b/packages/server/include/chervilspring/detail/net/event_splitter.hpp
@@ -28,13 +28,18 @@
     /// @brief Id of the newest event that was taken, empty if none had one.
     const std::string &lastId() const { return lastId_; }
 
+    /// @brief Whether the event that has begun is too long to be one.
+    bool isTooLong() const { return pending_.size() > maxEventBytes; }
+
     /// @brief Whether an event was taken that doesn't follow the one before.
     bool hasGap() const { return gap_; }
 
 private:
+    static constexpr std::size_t maxEventBytes = 256u << 10; ///< a thousand times usual ones
     bool note(std::string_view event);
 
     std::string pending_;
+    std::size_t searched_ = 0; ///< bytes of pending_ in which no event ends
     std::string lastId_;
     std::optional<std::uint64_t> lastNumber_;
     bool gap_ = false;
--- a/packages/server/include/chervilspring/detail/net/http_client.hpp
+++ b/packages/server/include/chervilspring/detail/net/http_client.hpp
@@ -19,6 +19,7 @@
     std::vector<HttpHeader> headers_;
     std::string body_;
     nanoseconds limit_ = seconds(5); ///< for the whole call
+    std::size_t answerLimit_ = 8u << 20; ///< bytes of the body, or of one event
     bool reuse_ = false; ///< may go over a connection that is already open
 };
 
--- a/packages/server/include/chervilspring/detail/net/idle_connections.hpp
+++ b/packages/server/include/chervilspring/detail/net/idle_connections.hpp
@@ -2,6 +2,7 @@
 /// @brief Open connections to upstreams that wait for the next request. One thread owns them.
 #pragma once
 
+#include "chervilspring/detail/net/read_limits.hpp"
 #include "chervilspring/time.hpp"
 
 #include <boost/beast/core/flat_buffer.hpp>
@@ -18,7 +19,9 @@
 /// @brief A connection and what was read from it beyond the last answer.
 struct UpstreamConnection
 {
-    explicit UpstreamConnection(boost::asio::io_context &context) : stream_(context) { }
+    explicit UpstreamConnection(boost::asio::io_context &context)
+        : stream_(context), buffer_(maxUnparsedBytes)
+    { }
 
     boost::beast::tcp_stream stream_;
     boost::beast::flat_buffer buffer_;
--- a/packages/server/include/chervilspring/detail/net/run_client.hpp
+++ b/packages/server/include/chervilspring/detail/net/run_client.hpp
@@ -64,6 +64,8 @@
     RunHandlers handlers_;
     IdleConnections idle_; ///< by address and instance
     std::map<RunKey, RunPointer> runs_;
+    std::shared_ptr<std::size_t> heldBytes_ =
+        std::make_shared<std::size_t>(0); ///< of all answers that are held, read or being read
     std::map<RunKey, std::unique_ptr<Held>> held_; ///< whole answers that wait for a decision
     std::uint64_t opened_ = 0;
 };
--- a/packages/server/src/direct_server.cpp
+++ b/packages/server/src/direct_server.cpp
@@ -1,6 +1,7 @@
 #include "chervilspring/detail/net/direct_server.hpp"
 
 #include "chervilspring/detail/net/caller_presence.hpp"
+#include "chervilspring/detail/net/read_limits.hpp"
 #include "chervilspring/log.hpp"
 
 #include <boost/asio/co_spawn.hpp>
@@ -225,6 +226,7 @@
 {
     http::request_parser<http::string_body> parser;
     parser.header_limit(limits_.headerBytes_);
+    buffer.max_size(std::max<std::size_t>(maxUnparsedBytes, 2 * limits_.headerBytes_));
     parser.body_limit(limits_.bodyBytes_);
     boost::system::error_code error;
     if (buffer.size() == 0) {
--- a/packages/server/src/event_splitter.cpp
+++ b/packages/server/src/event_splitter.cpp
@@ -60,7 +60,7 @@
 {
     std::string events;
     std::size_t begin = 0;
-    for (auto end = pending_.find(separator); end != std::string::npos;
+    for (auto end = pending_.find(separator, searched_); end != std::string::npos;
          end = pending_.find(separator, begin)) {
         const std::size_t next = end + separator.size();
         const std::string_view event(pending_.data() + begin, next - begin);
@@ -69,6 +69,8 @@
         begin = next;
     }
     pending_.erase(0, begin);
+    // The last byte may be the first one of a separator.
+    searched_ = pending_.empty() ? 0 : pending_.size() - 1;
     return events;
 }
 
@@ -76,6 +78,7 @@
 {
     std::string rest = std::move(pending_);
     pending_.clear();
+    searched_ = 0;
     return rest;
 }
 
--- a/packages/server/src/http_client.cpp
+++ b/packages/server/src/http_client.cpp
@@ -15,7 +15,6 @@
 
 constexpr std::size_t maxIdle = 64; // connections kept open to one server
 constexpr auto connectLimit = milliseconds(1000);
-constexpr std::size_t answerLimit = 64u << 20; // bytes
 
 http::request<http::string_body> makeRequest(const HttpCall &call)
 {
@@ -31,15 +30,21 @@
 }
 
 // Cuts whole events out of the text read so far.
-void takeEvents(std::string &text, const std::function<void(const std::string &)> &onEvent)
+// searched: bytes of the text in which no event ends
+void takeEvents(std::string &text, std::size_t &searched,
+                const std::function<void(const std::string &)> &onEvent)
 {
     static constexpr std::string_view prefix = "data: ";
-    for (auto end = text.find("\n\n"); end != std::string::npos; end = text.find("\n\n")) {
-        std::string event = text.substr(0, end);
-        text.erase(0, end + 2);
+    std::size_t begin = 0;
+    for (auto end = text.find("\n\n", searched); end != std::string::npos;
+         end = text.find("\n\n", begin)) {
+        const std::string event = text.substr(begin, end - begin);
+        begin = end + 2;
         if (event.starts_with(prefix))
             onEvent(event.substr(prefix.size()));
     }
+    text.erase(0, begin);
+    searched = text.empty() ? 0 : text.size() - 1;
 }
 
 std::string serverOf(const HttpCall &call)
@@ -97,11 +102,15 @@
     if (error)
         co_return HttpCallResult{endOf(error), 0, {}, {}, error.message(), {}, {}};
     http::response_parser<http::string_body> parser;
-    parser.body_limit(answerLimit);
+    if (onEvent)
+        parser.body_limit(boost::none); // events are bounded one by one
+    else
+        parser.body_limit(call.answerLimit_);
     co_await http::async_read_header(stream, buffer, parser,
                                      asio::redirect_error(use_awaitable, error));
     gotBytes = gotBytes || parser.got_some() || buffer.size() > 0;
     std::string text;
+    std::size_t searched = 0;
     while (!error && !parser.is_done()) {
         co_await http::async_read_some(stream, buffer, parser,
                                        asio::redirect_error(use_awaitable, error));
@@ -109,7 +118,9 @@
             continue;
         text += parser.get().body();
         parser.get().body().clear();
-        takeEvents(text, onEvent);
+        takeEvents(text, searched, onEvent);
+        if (text.size() > call.answerLimit_)
+            error = http::error::body_limit;
     }
     if (error)
         co_return HttpCallResult{endOf(error), 0, {}, {}, error.message(), {}, {}};
--- a/packages/server/src/http_server.cpp
+++ b/packages/server/src/http_server.cpp
@@ -1,6 +1,7 @@
 #include "chervilspring/detail/net/http_server.hpp"
 
 #include "chervilspring/detail/net/caller_presence.hpp"
+#include "chervilspring/detail/net/read_limits.hpp"
 #include "chervilspring/error.hpp"
 
 #include <boost/asio/co_spawn.hpp>
@@ -120,7 +121,7 @@
 asio::awaitable<void> HttpServer::serve(tcp::socket socket)
 {
     Stream stream(std::move(socket));
-    beast::flat_buffer buffer;
+    beast::flat_buffer buffer(maxUnparsedBytes);
     try {
         boost::system::error_code ignored;
         stream.socket().set_option(tcp::no_delay(true), ignored);
--- a/packages/server/src/run_client.cpp
+++ b/packages/server/src/run_client.cpp
@@ -24,6 +24,7 @@
 constexpr std::size_t maxIdle = 32; // connections kept open to one upstream
 constexpr std::size_t readBytes = 16384;
 constexpr std::size_t maxHeldAnswer = 8u << 20; // bytes of an answer that isn't a stream
+constexpr std::size_t maxHeldBytes = 32u << 20; // of all of them: a fifth of an entry's memory
 constexpr unsigned statusOk = 200;
 constexpr std::string_view eventStream = "text/event-stream";
 
@@ -51,8 +52,29 @@
 
 struct RunClient::Held
 {
+    Held() = default;
+    Held(const Held &) = delete;
+    Held &operator=(const Held &) = delete;
+    ~Held()
+    {
+        if (total_)
+            *total_ -= counted_;
+    }
+
+    // Counts bytes among those that all answers hold, until this one is gone.
+    void hold(const std::shared_ptr<std::size_t> &total, std::size_t bytes)
+    {
+        total_ = total;
+        *total += bytes;
+        counted_ += bytes;
+    }
+
     std::string head_;
     std::string body_;
+
+private:
+    std::shared_ptr<std::size_t> total_;
+    std::size_t counted_ = 0;
 };
 
 RunClient::RunClient(asio::io_context &context, const DirectProtocol &protocol,
@@ -248,20 +270,26 @@
     auto held = std::make_unique<Held>();
     boost::system::error_code error;
     std::string piece(readBytes, '\0');
-    while (!run->parser_->is_done() && held->body_.size() <= maxHeldAnswer) {
+    const auto announced = run->parser_->content_length();
+    bool fits = !announced || *announced <= maxHeldAnswer;
+    while (!run->parser_->is_done() && fits) {
         run->parser_->get().body().data = piece.data();
         run->parser_->get().body().size = piece.size();
         co_await http::async_read_some(connection.stream_, connection.buffer_, *run->parser_,
                                        asio::redirect_error(use_awaitable, error));
         if (error == http::error::need_buffer)
             error = {};
-        held->body_.append(piece, 0, piece.size() - run->parser_->get().body().size);
+        const std::size_t count = piece.size() - run->parser_->get().body().size;
+        held->hold(heldBytes_, count);
+        held->body_.append(piece, 0, count);
         if (error)
             break;
+        fits = held->body_.size() <= maxHeldAnswer && *heldBytes_ <= maxHeldBytes;
     }
     if (error || !run->parser_->is_done()) {
         end.end_ = RunEnd::Failed;
-        end.detail_ = "answer body: " + (error ? error.message() : std::string("too large"));
+        end.detail_ = "answer body: "
+            + (error ? error.message() : std::string("too large, or too much is held"));
         co_return;
     }
     held->head_ = run->answerHead_;
@@ -300,7 +328,8 @@
     boost::system::error_code error;
     std::string piece(readBytes, '\0');
     bool reachable = true;
-    while (!run->parser_->is_done() && reachable && !error && !run->events_->hasGap()) {
+    const auto isSound = [&] { return !run->events_->hasGap() && !run->events_->isTooLong(); };
+    while (!run->parser_->is_done() && reachable && !error && isSound()) {
         run->parser_->get().body().data = piece.data();
         run->parser_->get().body().size = piece.size();
         if (run->order_.gapLimit_ > nanoseconds(0) && run->answerHead_.empty())
@@ -315,7 +344,7 @@
             reachable = co_await passEvents(run, end, false);
     }
     connection.stream_.expires_never();
-    const bool whole = run->parser_->is_done() && !error && !run->events_->hasGap();
+    const bool whole = run->parser_->is_done() && !error && isSound();
     if (whole && reachable)
         reachable = co_await passEvents(run, end, true);
     if (whole && reachable) {
@@ -325,7 +354,12 @@
     }
     const bool begun = continued || run->exchange_->headSent();
     end.end_ = begun ? RunEnd::Broken : RunEnd::Failed;
-    end.detail_ = reachable ? "stream: " + error.message() : "the caller can't be reached";
+    if (!reachable)
+        end.detail_ = "the caller can't be reached";
+    else if (run->events_->isTooLong())
+        end.detail_ = "stream: an event without end";
+    else
+        end.detail_ = "stream: " + error.message();
 }
 
 } // namespace chervilspring
--- /dev/null
+++ b/packages/server/tests/unit-endless_answers.cpp
@@ -0,0 +1,139 @@
+// Covers detail/net/http_client.hpp and event_splitter.hpp: servers that send bytes without end.
+#include "chervilspring/detail/net/event_splitter.hpp"
+#include "chervilspring/detail/net/http_client.hpp"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/test/data/monomorphic.hpp>
+#include <boost/test/data/test_case.hpp>
+#include <boost/test/unit_test.hpp>
+
+namespace {
+
+using namespace chervilspring;
+namespace asio = boost::asio;
+namespace data = boost::unit_test::data;
+namespace http = boost::beast::http;
+using asio::use_awaitable;
+using asio::ip::tcp;
+
+constexpr std::size_t mostTaken = 16u << 20; // bytes: limit of an answer and buffers of the system
+constexpr nanoseconds longestCall = seconds(5);
+constexpr std::size_t fillerBytes = 64u << 10;
+
+struct Case
+{
+    const char *name_;
+    std::string opening_;
+    std::string filler_;
+    bool events_ = false; ///< the caller takes events instead of a body
+};
+
+std::ostream &operator<<(std::ostream &out, const Case &item)
+{
+    return out << item.name_;
+}
+
+const std::string head = "HTTP/1.1 200 OK\r\n";
+const std::string chunked = head + "Transfer-Encoding: chunked\r\n\r\n";
+const std::string chunk = "400\r\n" + std::string(1024, 'x') + "\r\n";
+
+const Case cases[] = {
+    {"bytes that are no answer", "", "zyxw"},
+    {"status line", "HTTP/1.1 200 ", "x"},
+    {"header field", head + "X-A: ", "b"},
+    {"header fields", head, "X-A: b\r\n"},
+    {"body that ends with the connection", head + "\r\n", "x"},
+    {"body of a terabyte", head + "Content-Length: 1099511627776\r\n\r\n", "x"},
+    {"chunks", chunked, chunk},
+    {"chunk of a terabyte", chunked + "10000000000\r\n", "x"},
+    {"chunk header", chunked + "4;a=", "x"},
+    {"trailer", chunked + "0\r\n", "X-A: b\r\n"},
+    {"event", head + "\r\ndata: ", "x", true},
+    {"event in chunks", chunked, chunk, true},
+};
+
+/// Answers each request with an opening and a filler until the connection is closed.
+class EndlessServer
+{
+public:
+    EndlessServer(asio::io_context &context, const Case &item)
+        : acceptor_(context, {asio::ip::make_address("127.0.0.1"), 0}), opening_(item.opening_)
+    {
+        while (filler_.size() < fillerBytes)
+            filler_ += item.filler_;
+        asio::co_spawn(context, serve(), asio::detached);
+    }
+
+    std::uint16_t port() const { return acceptor_.local_endpoint().port(); }
+
+    std::size_t sent_ = 0;
+    bool closed_ = false;
+
+private:
+    asio::awaitable<void> serve()
+    {
+        tcp::socket socket = co_await acceptor_.async_accept(use_awaitable);
+        boost::beast::flat_buffer buffer;
+        http::request<http::string_body> request;
+        co_await http::async_read(socket, buffer, request, use_awaitable);
+        boost::system::error_code error;
+        co_await asio::async_write(socket, asio::buffer(opening_),
+                                   asio::redirect_error(use_awaitable, error));
+        while (!error) {
+            const std::size_t count = co_await asio::async_write(
+                socket, asio::buffer(filler_), asio::redirect_error(use_awaitable, error));
+            sent_ += count;
+        }
+        closed_ = true;
+    }
+
+    tcp::acceptor acceptor_;
+    std::string opening_;
+    std::string filler_;
+};
+
+BOOST_DATA_TEST_CASE(call_ends_although_the_answer_does_not, data::make(cases), item)
+{
+    asio::io_context context;
+    EndlessServer server(context, item);
+    HttpClient client(context);
+    HttpCall call;
+    call.address_ = "127.0.0.1";
+    call.port_ = server.port();
+    call.target_ = "/";
+    call.limit_ = seconds(30);
+    std::function<void(const std::string &)> onEvent;
+    if (item.events_)
+        onEvent = [](const std::string &) {};
+    std::optional<HttpCallResult> result;
+    const Instant began = BootClock::now();
+    asio::co_spawn(context, client.perform(call, onEvent),
+                   [&](std::exception_ptr, HttpCallResult ended) { result = std::move(ended); });
+    while (BootClock::now() - began < longestCall && !(result && server.closed_))
+        context.run_for(milliseconds(10));
+    BOOST_REQUIRE(result.has_value());
+    BOOST_TEST((result->end_ == HttpCallEnd::Broken));
+    BOOST_TEST(server.closed_);
+    BOOST_TEST(server.sent_ <= mostTaken);
+}
+
+// An event without end must not be searched from its start for each piece of it.
+BOOST_AUTO_TEST_CASE(event_without_end_is_given_up)
+{
+    EventSplitter splitter;
+    const std::string piece(16384, 'x');
+    std::size_t added = 0;
+    while (!splitter.isTooLong() && added < mostTaken) {
+        splitter.add(piece);
+        BOOST_TEST(splitter.takeEvents().empty());
+        added += piece.size();
+    }
+    BOOST_TEST(splitter.isTooLong());
+    BOOST_TEST(added <= (1u << 20));
+}
+
+} // namespace
