--- a/packages/decision/include/chervilspring/detail/scheduler/scheduler_steps.hpp
+++ b/packages/decision/include/chervilspring/detail/scheduler/scheduler_steps.hpp
@@ -73,9 +73,6 @@
 bool refuseLate(SchedulerState &state, Instant now, const JobId &id, Job &job,
                 SchedulerEffects &effects);
 
-/// @brief Lets a request go before all priorities, because its own one is underserved.
-void promote(Job &job, const ServiceShares &shares, SchedulerEffects &effects);
-
 /// @brief Whether every pool that a request needs has an upstream.
 bool poolsServed(const SchedulerState &state, const Job &job);
 
--- a/packages/decision/src/scheduler/scheduler_admission.cpp
+++ b/packages/decision/src/scheduler/scheduler_admission.cpp
@@ -110,6 +110,15 @@
     return std::to_string(static_cast<int>(share * 100));
 }
 
+// Lets a request go before all priorities, because its own one is underserved.
+void promote(Job &job, const ServiceShares &shares, SchedulerEffects &effects)
+{
+    job.promoted_ = true;
+    addLine(effects, job,
+            "promote priority=" + std::to_string(job.request_.priority_) + " own_percent="
+                + percentText(shares.own_) + " above_percent=" + percentText(shares.above_));
+}
+
 } // namespace
 
 bool refuseLate(SchedulerState &state, Instant now, const JobId &id, Job &job,
@@ -140,14 +149,6 @@
     return true;
 }
 
-void promote(Job &job, const ServiceShares &shares, SchedulerEffects &effects)
-{
-    job.promoted_ = true;
-    addLine(effects, job,
-            "promote priority=" + std::to_string(job.request_.priority_) + " own_percent="
-                + percentText(shares.own_) + " above_percent=" + percentText(shares.above_));
-}
-
 bool poolsServed(const SchedulerState &state, const Job &job)
 {
     const auto served = [&](const std::string &pool) {
--- a/packages/server/include/chervilspring/detail/net/read_limits.hpp
+++ b/packages/server/include/chervilspring/detail/net/read_limits.hpp
@@ -41,8 +41,9 @@
 /// @brief Takes a step in reading a message: parses what is in the buffer, or reads more.
 ///
 /// The parser's own reads go on inside for as long as lines come, without a bound on them.
-/// @param amount counts what the parser takes, apart from the body
-/// @param error receives what went wrong
+/// @param amount its all_ counts what the parser takes; body_ is left to the caller
+/// @param error receives what went wrong: of the connection, the parser, or buffer_overflow for a
+/// line that doesn't fit into the buffer
 template<typename Stream, typename Buffer, typename Parser>
 boost::asio::awaitable<void> readStep(Stream &stream, Buffer &buffer, Parser &parser,
                                       ReadAmount &amount, boost::system::error_code &error)
