--- /dev/null
+++ b/packages/server/tests/unit-endless_requests.cpp
@@ -0,0 +1,124 @@
+// Covers detail/net/http_server.hpp and direct_server.hpp: requests without end, such as
+// registrations of a broken upstream.
+#include "chervilspring/detail/net/direct_server.hpp"
+#include "chervilspring/detail/net/http_server.hpp"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/test/data/monomorphic.hpp>
+#include <boost/test/data/test_case.hpp>
+#include <boost/test/unit_test.hpp>
+
+namespace {
+
+using namespace chervilspring;
+namespace asio = boost::asio;
+namespace data = boost::unit_test::data;
+using asio::use_awaitable;
+using asio::ip::tcp;
+
+constexpr std::size_t bodyLimit = 1u << 20;
+constexpr std::size_t mostTaken = 16u << 20; // bytes: the body's limit and buffers of the system
+constexpr nanoseconds longest = seconds(5);
+constexpr std::size_t usualPiece = 64u << 10;
+
+struct Case
+{
+    const char *name_;
+    std::string opening_;
+    std::string filler_;
+    std::size_t pieceBytes_ = usualPiece; ///< sent at once
+};
+
+std::ostream &operator<<(std::ostream &out, const Case &item)
+{
+    return out << item.name_;
+}
+
+const std::string head = "PUT /-/instances/i-1 HTTP/1.1\r\nHost: x\r\n";
+const std::string chunked = head + "Transfer-Encoding: chunked\r\n\r\n";
+
+const Case cases[] = {
+    {"bytes that are no request", "", "zyxw"},
+    {"request line", "PUT /", "x"},
+    {"header fields", head, "X-A: b\r\n"},
+    {"header fields line by line", head + "X", "-A: b\r\nX", 8},
+    {"body of a terabyte", head + "Content-Length: 1099511627776\r\n\r\n", "x"},
+    {"chunks", chunked, "400\r\n" + std::string(1024, 'x') + "\r\n"},
+    {"chunk header", chunked + "4;a=", "x"},
+    {"trailer", chunked + "0\r\n", "X-A: b\r\n"},
+    {"trailer line by line", chunked + "0\r\nX", "-A: b\r\nX", 8},
+};
+
+struct Flood
+{
+    std::size_t sent_ = 0;
+    bool closed_ = false;
+};
+
+asio::awaitable<void> send(std::uint16_t port, Case item, Flood &flood)
+{
+    tcp::socket socket(co_await asio::this_coro::executor);
+    co_await socket.async_connect({asio::ip::make_address("127.0.0.1"), port}, use_awaitable);
+    std::string filler;
+    while (filler.size() < item.pieceBytes_)
+        filler += item.filler_;
+    boost::system::error_code error;
+    co_await asio::async_write(socket, asio::buffer(item.opening_),
+                               asio::redirect_error(use_awaitable, error));
+    while (!error) {
+        const std::size_t count = co_await asio::async_write(
+            socket, asio::buffer(filler), asio::redirect_error(use_awaitable, error));
+        flood.sent_ += count;
+        // Each line is read before the next one comes.
+        asio::steady_timer pause(socket.get_executor(), std::chrono::microseconds(10));
+        if (filler.size() < usualPiece)
+            co_await pause.async_wait(use_awaitable);
+    }
+    flood.closed_ = true;
+}
+
+void requireEnd(asio::io_context &context, std::uint16_t port, const Case &item)
+{
+    Flood flood;
+    const Instant began = BootClock::now();
+    asio::co_spawn(context, send(port, item, flood), asio::detached);
+    while (BootClock::now() - began < longest && !flood.closed_)
+        context.run_for(milliseconds(10));
+    BOOST_TEST(flood.closed_);
+    BOOST_TEST(flood.sent_ <= mostTaken);
+    context.stop();
+}
+
+BOOST_DATA_TEST_CASE(registration_without_end_is_given_up, data::make(cases), item)
+{
+    asio::io_context context;
+    HttpServer server(context, HttpLimits{bodyLimit, seconds(30)},
+                      [](const HttpExchangePointer &) { BOOST_ERROR("a request was handed on"); });
+    requireEnd(context, server.listen("127.0.0.1", 0), item);
+}
+
+BOOST_DATA_TEST_CASE(call_without_end_is_given_up, data::make(cases), item)
+{
+    asio::io_context context;
+    DirectServer server(
+        context,
+        DirectHandlers{[](const DirectExchangePointer &) { BOOST_ERROR("a call was handed on"); },
+                       [](std::uint64_t) {}});
+    CallerLimits limits;
+    limits.bodyBytes_ = bodyLimit;
+    limits.headerTime_ = seconds(30);
+    server.setLimits(limits);
+    const std::uint16_t port = [&] {
+        const tcp::acceptor free(context, {asio::ip::make_address("127.0.0.1"), 0});
+        return free.local_endpoint().port();
+    }();
+    server.listen({asio::ip::make_address("127.0.0.1"), port});
+    requireEnd(context, port, item);
+}
+
+} // namespace
