--- a/packages/decision/include/chervilspring/detail/direct/direct.hpp
+++ b/packages/decision/include/chervilspring/detail/direct/direct.hpp
@@ -73,8 +73,14 @@
     bool reachable_ = false; ///< the upstream accepts connections
 };
 
+/// @brief Event: the process was told to stop.
+struct DirectStop
+{
+    Instant exitAt_{}; ///< when the process exits, even if requests are unfinished
+};
+
 using DirectEvent = std::variant<UpstreamProbed, DirectCall, RunEnded, RunStarted, CallerGone,
-                                 PeerMessage, PeerLost, ViewChanged, Wake>;
+                                 PeerMessage, PeerLost, ViewChanged, DirectStop, Wake>;
 
 /// @brief Effect: send a request to an upstream.
 struct StartRun
@@ -209,6 +215,7 @@
     std::string leader_; ///< leader of the control processes; empty: unknown
     std::vector<std::string> controlNames_; ///< names of all control processes
     std::map<std::string, Instant> schedulersLostAt_; ///< time of connection loss by scheduler
+    Instant exitAt_ = Instant::max(); ///< when the process exits; the maximum: it isn't stopping
     std::mt19937_64 random_; ///< for choices among pools and equal upstreams
 };
 
@@ -223,6 +230,9 @@
 /// @brief Returns when the next Wake event is due.
 Instant nextWake(const DirectState &state);
 
+/// @brief Describes the requests in progress for the log, one line for each.
+std::vector<DecisionLine> describeUnfinished(const DirectState &state, Instant now);
+
 /// @brief Returns whether the entry has a configuration and can serve requests.
 bool canServe(const DirectState &state);
 
--- a/packages/decision/include/chervilspring/detail/direct/direct_steps.hpp
+++ b/packages/decision/include/chervilspring/detail/direct/direct_steps.hpp
@@ -103,6 +103,13 @@
 /// @brief Applies a new view, share of the fleet-wide limits and leader.
 void onView(DirectState &state, Instant now, const ViewChanged &event, DirectEffects &effects);
 
+/// @brief Records when the process exits.
+void onStop(DirectState &state, Instant now, const DirectStop &event, DirectEffects &effects);
+
+/// @brief Returns the time until the process exits as a key=value pair for the log; empty if it
+/// isn't stopping.
+std::string untilExitText(const DirectState &state, Instant now);
+
 /// @brief Plans requests for which no scheduler was known before.
 void replanUnscheduled(DirectState &state, Instant now, DirectEffects &effects);
 
--- a/packages/decision/src/direct/direct.cpp
+++ b/packages/decision/src/direct/direct.cpp
@@ -143,6 +143,7 @@
                    [&](const PeerMessage &e) { onPeerMessage(state, now, e, effects); },
                    [&](const PeerLost &e) { onPeerLost(state, now, e.peer_, effects); },
                    [&](const ViewChanged &e) { onView(state, now, e, effects); },
+                   [&](const DirectStop &e) { onStop(state, now, e, effects); },
                    [](const Wake &) {},
                },
                event);
--- a/packages/decision/src/direct/direct_planning.cpp
+++ b/packages/decision/src/direct/direct_planning.cpp
@@ -137,7 +137,8 @@
                         + " results=" + std::to_string(request.stageResults_.size())
                         + " until_objective_ms="
                         + millisecondsText(request.arrivedAt_ + request.route_->objective_ - now)
-                        + " until_end_ms=" + millisecondsText(request.deadlineAt_ - now));
+                        + " until_end_ms=" + millisecondsText(request.deadlineAt_ - now)
+                        + untilExitText(state, now));
     effects.push_back(SendToPeer{scheduler, makePlanRequest(request, now, resultsLost)});
 }
 
--- a/packages/decision/src/direct/direct_runs.cpp
+++ b/packages/decision/src/direct/direct_runs.cpp
@@ -195,12 +195,12 @@
     run.priority_ = request.priority_;
     run.gapLimit_ = run.streaming_ && run.repeatable_ ? resumableGapLimit : nanoseconds(0);
     run.connectionLimit_ = pool ? connectionShare(state, *pool, now) : 0;
-    addDecisionLine(effects, request, "route",
-                    "route=" + route.name_ + " pool=" + request.pool_
-                        + " upstream=" + upstream.name_ + " open="
-                        + std::to_string(state.upstreamStats_[upstream.name_].activeRuns_)
-                        + " remaining_ms=" + millisecondsText(run.remaining_)
-                        + " view=" + std::to_string(state.table_->view_->version_));
+    addDecisionLine(
+        effects, request, "route",
+        "route=" + route.name_ + " pool=" + request.pool_ + " upstream=" + upstream.name_
+            + " open=" + std::to_string(state.upstreamStats_[upstream.name_].activeRuns_)
+            + " remaining_ms=" + millisecondsText(run.remaining_)
+            + " view=" + std::to_string(state.table_->view_->version_) + untilExitText(state, now));
     effects.push_back(std::move(run));
 }
 
--- a/packages/decision/tests/unit-direct.cpp
+++ b/packages/decision/tests/unit-direct.cpp
@@ -312,6 +312,22 @@
     BOOST_TEST(std::holds_alternative<PlanEnd>(effectsOf<SendToPeer>(effects)[0].message_));
 }
 
+BOOST_AUTO_TEST_CASE(requests_that_the_exit_interrupts_are_logged_with_their_times)
+{
+    DirectFixture fixture;
+    fixture.call("stream");
+    const auto stop =
+        effectsOf<DecisionLine>(fixture.handle(DirectStop{fixture.now_ + milliseconds(7600)}));
+    BOOST_REQUIRE(stop.size() == 1u);
+    BOOST_TEST(stop[0].text_ == "decision=stop unfinished=1 until_exit_ms=7600");
+    fixture.now_ += milliseconds(1000);
+    const auto lines = describeUnfinished(fixture.state_, fixture.now_);
+    BOOST_REQUIRE(lines.size() == 1u);
+    BOOST_TEST(lines[0].text_
+               == "decision=unfinished request=id1 phase=planning upstream= response_started=false"
+                  " age_ms=1000 until_end_ms=500 until_exit_ms=6600");
+}
+
 BOOST_AUTO_TEST_CASE(requests_of_a_lost_scheduler_are_replanned_at_another_one)
 {
     DirectFixture fixture;
--- a/packages/server/src/direct_thread.cpp
+++ b/packages/server/src/direct_thread.cpp
@@ -204,6 +204,7 @@
         gracePeriod_ = grace;
         onStopped_ = onStopped;
         server_.closeAfterAnswers();
+        handle(DirectStop{stopRequestedAt_ + gracePeriod_ - exitBeforeGraceEnd});
         pollStop();
     });
 }
@@ -218,8 +219,11 @@
     const bool idle = exchanges_.empty() && server_.busyConnections() == 0;
     const bool drained = idle && elapsed >= acceptAfterStop;
     if (drained || elapsed >= gracePeriod_ - exitBeforeGraceEnd) {
+        for (const DecisionLine &line : describeUnfinished(state_, BootClock::now()))
+            writeLog(LogLevel::Warn, line.text_);
         writeLog(LogLevel::Info,
                  "drained unfinished=" + std::to_string(exchanges_.size())
+                     + " busy_connections=" + std::to_string(server_.busyConnections())
                      + " took_ms=" + std::to_string(elapsed / milliseconds(1)));
         if (onStopped_)
             std::exchange(onStopped_, nullptr)();
