A stopping entry accepts and runs only what can end before it exits

The reducer accepted requests for 3.2 s after SIGTERM, and started and repeated runs at any time, with the caller's deadline as the only limit.

While the entry stops, a new request is refused at once (503, not run, Retry-After of 10 ms) unless its deadline, or the mean service time of its route plus four deviations, lies before the exit. Requests in planning, grants and retries need the mean time of a run plus two deviations. At the exit every unfinished request gets an answer: 503 if nothing can have run, 502 otherwise; a response that has begun is aborted. Schedulers get the exit as deadline.

--- a/packages/decision/include/chervilspring/detail/direct/direct.hpp
+++ b/packages/decision/include/chervilspring/detail/direct/direct.hpp
@@ -8,6 +8,7 @@
 #include "chervilspring/detail/direct/retry_budget.hpp"
 #include "chervilspring/detail/direct/route_table.hpp"
 #include "chervilspring/detail/direct/upstream_choice.hpp"
+#include "chervilspring/detail/scheduler/time_estimate.hpp"
 #include "chervilspring/events.hpp"
 
 #include <map>
@@ -76,7 +77,7 @@
 /// @brief Event: the process was told to stop.
 struct DirectStop
 {
-    Instant exitAt_{}; ///< when the process exits, even if requests are unfinished
+    Instant exitAt_{}; ///< when the requests that are still unfinished are ended
 };
 
 using DirectEvent = std::variant<UpstreamProbed, DirectCall, RunEnded, RunStarted, CallerGone,
@@ -199,6 +200,13 @@
     std::map<std::pair<std::uint32_t, std::uint32_t>, StageResult> stageResults_;
 };
 
+/// @brief Service times of a route's requests at this entry.
+struct RouteTimes
+{
+    TimeEstimate total_; ///< from the arrival of a request to the end of its response
+    TimeEstimate run_; ///< from the start of its last run
+};
+
 /// @brief Complete state of the direct entry.
 struct DirectState
 {
@@ -215,7 +223,10 @@
     std::string leader_; ///< leader of the control processes; empty: unknown
     std::vector<std::string> controlNames_; ///< names of all control processes
     std::map<std::string, Instant> schedulersLostAt_; ///< time of connection loss by scheduler
-    Instant exitAt_ = Instant::max(); ///< when the process exits; the maximum: it isn't stopping
+    /// When unfinished requests are ended before the process exits; the maximum: it isn't stopping.
+    Instant exitAt_ = Instant::max();
+    Instant nextExitCheckAt_ = Instant::max(); ///< when endUnfinishable() is due
+    std::map<std::string, RouteTimes> routeTimes_; ///< by route name, of requests that were served
     std::mt19937_64 random_; ///< for choices among pools and equal upstreams
 };
 
--- a/packages/decision/include/chervilspring/detail/direct/direct_steps.hpp
+++ b/packages/decision/include/chervilspring/detail/direct/direct_steps.hpp
@@ -14,6 +14,9 @@
 inline constexpr unsigned statusUnavailable = 503;
 inline constexpr unsigned statusGatewayTimeout = 504;
 
+// Value of Retry-After while this entry stops: another one can serve the request at once.
+inline constexpr nanoseconds stoppingRetryAfter = milliseconds(10);
+
 /// @brief Why a request ended.
 struct EndReason
 {
@@ -104,12 +107,42 @@
 void onView(DirectState &state, Instant now, const ViewChanged &event, DirectEffects &effects);
 
 /// @brief Records when the process exits.
+///
+/// From then on, requests are accepted only if they are expected to end before the exit.
 void onStop(DirectState &state, Instant now, const DirectStop &event, DirectEffects &effects);
 
+/// @brief Returns whether a new request is expected to be served before the process exits.
+/// @param deadlineAt when the request ends at the latest
+bool isServableBeforeExit(const DirectState &state, Instant now, const RouteSpec &route,
+                          Instant deadlineAt);
+
+/// @brief Returns whether a run of a request, started now, is expected to end before the process
+/// exits.
+bool isRunnableBeforeExit(const DirectState &state, Instant now, const DirectRequest &request);
+
+/// @brief Ends a request that can't be served before the process exits. Another entry can serve it.
+void endForExit(DirectState &state, Instant now, std::uint64_t token, DirectEffects &effects);
+
+/// @brief Ends requests in planning whose run is no longer expected to end before the process
+/// exits, and all requests when the exit is due.
+void endUnfinishable(DirectState &state, Instant now, DirectEffects &effects);
+
+/// @brief Records the service time of a request whose response has been delivered.
+void recordServiceTime(DirectState &state, Instant now, const DirectRequest &request);
+
+/// @brief Removes the service times of routes that are no longer configured.
+void removeUnlistedRoutes(DirectState &state);
+
 /// @brief Returns the time until the process exits as a key=value pair for the log; empty if it
 /// isn't stopping.
 std::string untilExitText(const DirectState &state, Instant now);
 
+/// @brief Cancels the run and the planning of a request that is about to end.
+/// @param upstreamFailed whether the cancelled run counts as a failure of its upstream
+/// @param detail reason for the scheduler
+void cancelWork(DirectState &state, Instant now, DirectRequest &request, bool upstreamFailed,
+                const std::string &detail, DirectEffects &effects);
+
 /// @brief Plans requests for which no scheduler was known before.
 void replanUnscheduled(DirectState &state, Instant now, DirectEffects &effects);
 
--- a/packages/decision/src/direct/direct.cpp
+++ b/packages/decision/src/direct/direct.cpp
@@ -56,6 +56,12 @@
                        effects);
         return;
     }
+    const Instant deadlineAt = now + std::min<nanoseconds>(call.callerTimeout_, route->timeout_);
+    if (!isServableBeforeExit(state, now, *route, deadlineAt)) {
+        refuseUnrouted(call, statusUnavailable, stoppingRetryAfter,
+                       EndReason{"stopping", untilExitText(state, now)}, state, effects);
+        return;
+    }
     DirectRequest &request = state.requests_[call.token_];
     request.call_ = call;
     request.digest_ = digest;
@@ -66,7 +72,7 @@
     request.priority_ =
         (account ? account->priority_ : 0) * accountPriorityFactor + route->priority_;
     request.arrivedAt_ = now;
-    request.deadlineAt_ = now + std::min<nanoseconds>(call.callerTimeout_, route->timeout_);
+    request.deadlineAt_ = deadlineAt;
     state.deadlines_.insert({request.deadlineAt_, call.token_});
     state.tokensById_[call.id_] = call.token_;
     if (isPlanned(request))
@@ -75,20 +81,6 @@
         startUnplannedRun(state, now, call.token_, effects);
 }
 
-// Cancels the run and the planning of a request that is about to end. upstreamFailed tells whether
-// the cancelled run counts as a failure of its upstream; detail is the reason for the scheduler.
-void cancelWork(DirectState &state, Instant now, DirectRequest &request, bool upstreamFailed,
-                const std::string &detail, DirectEffects &effects)
-{
-    if (request.phase_ == DirectPhase::Running) {
-        effects.push_back(StopRun{request.call_.token_, request.attempt_});
-        recordRunEnd(state.upstreamStats_, request.upstream_, now - request.runStartedAt_,
-                     upstreamFailed, now);
-        ++request.possibleExecutions_;
-    }
-    notifyScheduler(request, PlanOutcome::NotServed, detail, effects);
-}
-
 void onCallerGone(DirectState &state, Instant now, std::uint64_t token, DirectEffects &effects)
 {
     const auto found = state.requests_.find(token);
@@ -128,8 +120,8 @@
 
 Instant nextWake(const DirectState &state)
 {
-    return state.deadlines_.empty() ? state.replanAt_
-                                    : std::min(state.replanAt_, state.deadlines_.begin()->first);
+    const Instant wake = std::min(state.replanAt_, state.nextExitCheckAt_);
+    return state.deadlines_.empty() ? wake : std::min(wake, state.deadlines_.begin()->first);
 }
 
 void reduce(DirectState &state, Instant now, const DirectEvent &event, DirectEffects &effects)
@@ -148,6 +140,7 @@
                },
                event);
     timeOutRequests(state, now, effects);
+    endUnfinishable(state, now, effects);
     replanUnscheduled(state, now, effects);
 }
 
--- a/packages/decision/src/direct/direct_common.cpp
+++ b/packages/decision/src/direct/direct_common.cpp
@@ -35,6 +35,18 @@
                            detail, outcome == PlanOutcome::EngineFailed}});
 }
 
+void cancelWork(DirectState &state, Instant now, DirectRequest &request, bool upstreamFailed,
+                const std::string &detail, DirectEffects &effects)
+{
+    if (request.phase_ == DirectPhase::Running) {
+        effects.push_back(StopRun{request.call_.token_, request.attempt_});
+        recordRunEnd(state.upstreamStats_, request.upstream_, now - request.runStartedAt_,
+                     upstreamFailed, now);
+        ++request.possibleExecutions_;
+    }
+    notifyScheduler(request, PlanOutcome::NotServed, detail, effects);
+}
+
 void finishRequest(DirectState &state, Instant now, std::uint64_t token, const EndReason &reason,
                    unsigned status, DirectEffects &effects)
 {
--- a/packages/decision/src/direct/direct_planning.cpp
+++ b/packages/decision/src/direct/direct_planning.cpp
@@ -36,7 +36,8 @@
     return {};
 }
 
-PlanRequest makePlanRequest(const DirectRequest &request, Instant now, bool resultsLost)
+PlanRequest makePlanRequest(const DirectState &state, const DirectRequest &request, Instant now,
+                            bool resultsLost)
 {
     PlanRequest plan;
     plan.id_ = request.call_.id_;
@@ -45,7 +46,7 @@
     plan.account_ = request.account_;
     plan.priority_ = request.priority_;
     plan.untilObjective_ = request.arrivedAt_ + request.route_->objective_ - now;
-    plan.untilDeadline_ = request.deadlineAt_ - now;
+    plan.untilDeadline_ = std::min(request.deadlineAt_, state.exitAt_) - now;
     plan.pieceCounts_ = request.call_.pieceCounts_;
     plan.pieceKey_ = request.call_.pieceKey_;
     plan.promptTokens_ = request.call_.promptTokens_;
@@ -82,6 +83,10 @@
     DirectRequest *request = findPlanned(state, peer, grant.id_, grant.round_);
     if (!request)
         return;
+    if (!isRunnableBeforeExit(state, now, *request)) {
+        endForExit(state, now, request->call_.token_, effects);
+        return;
+    }
     const auto upstream = state.table_->availableUpstreams_.find(grant.upstream_);
     if (upstream == state.table_->availableUpstreams_.end()) {
         request->avoidedUpstreams_.push_back(grant.upstream_);
@@ -139,7 +144,7 @@
                         + millisecondsText(request.arrivedAt_ + request.route_->objective_ - now)
                         + " until_end_ms=" + millisecondsText(request.deadlineAt_ - now)
                         + untilExitText(state, now));
-    effects.push_back(SendToPeer{scheduler, makePlanRequest(request, now, resultsLost)});
+    effects.push_back(SendToPeer{scheduler, makePlanRequest(state, request, now, resultsLost)});
 }
 
 void onPeerMessage(DirectState &state, Instant now, const PeerMessage &event,
@@ -196,6 +201,7 @@
         return;
     state.table_ = makeRouteTable(event.view_);
     removeUnlisted(state.upstreamStats_, *state.table_);
+    removeUnlistedRoutes(state);
 }
 
 void replanUnscheduled(DirectState &state, Instant now, DirectEffects &effects)
--- a/packages/decision/src/direct/direct_runs.cpp
+++ b/packages/decision/src/direct/direct_runs.cpp
@@ -46,6 +46,11 @@
                   DirectEffects &effects)
 {
     DirectRequest &request = state.requests_.at(token);
+    if (!isRunnableBeforeExit(state, now, request)) {
+        request.phase_ = DirectPhase::Planning; // the run has ended
+        endForExit(state, now, token, effects);
+        return;
+    }
     if (isPlanned(request))
         requestPlan(state, now, request, resultsLost, effects);
     else
@@ -157,8 +162,10 @@
         retryRequest(state, now, event.token_, true, effects);
         return;
     }
-    if (!failed)
+    if (!failed) {
         clearIfSuspect(state, request, effects);
+        recordServiceTime(state, now, request);
+    }
     notifyScheduler(request, failed ? PlanOutcome::NotServed : PlanOutcome::Served, "answered",
                     effects);
     effects.push_back(DeliverHeld{event.token_, event.attempt_});
@@ -244,6 +251,7 @@
     case RunEnd::Delivered:
         ++request->possibleExecutions_;
         clearIfSuspect(state, *request, effects);
+        recordServiceTime(state, now, *request);
         notifyScheduler(*request, PlanOutcome::Served, "delivered", effects);
         finishRequest(state, now, event.token_, EndReason{"delivered"}, event.status_, effects);
         return;
--- a/packages/decision/src/direct/direct_stop.cpp
+++ b/packages/decision/src/direct/direct_stop.cpp
@@ -1,22 +1,112 @@
 #include "chervilspring/detail/direct/direct_steps.hpp"
 
+#include <algorithm>
+
 namespace chervilspring {
 
 namespace directing {
 
+namespace {
+
+constexpr nanoseconds exitCheckInterval = milliseconds(50);
+// Deviations above the mean service time that are allowed for. At arrival a refusal costs the
+// caller only a new connection to another entry; later it also costs the results of the stages.
+constexpr int arrivalDeviations = 4;
+constexpr int runDeviations = 2;
+
+bool isStopping(const DirectState &state)
+{
+    return state.exitAt_ != Instant::max();
+}
+
+// Returns whether a request is expected to end before the exit; without a measured time, its
+// deadline has to lie before the exit.
+bool endsBeforeExit(const DirectState &state, Instant now, const TimeEstimate &time, int deviations,
+                    Instant deadlineAt)
+{
+    const bool inTime =
+        time.mean_ && now + meanTime(time) + deviations * time.deviation_ <= state.exitAt_;
+    return inTime || deadlineAt <= state.exitAt_;
+}
+
+const RouteTimes &timesOf(const DirectState &state, const std::string &route)
+{
+    static const RouteTimes unknown;
+    const auto found = state.routeTimes_.find(route);
+    return found == state.routeTimes_.end() ? unknown : found->second;
+}
+
+} // namespace
+
 void onStop(DirectState &state, Instant now, const DirectStop &event, DirectEffects &effects)
 {
     state.exitAt_ = event.exitAt_;
+    state.nextExitCheckAt_ = now;
     effects.push_back(
         DecisionLine{"decision=stop unfinished=" + std::to_string(state.requests_.size())
                      + untilExitText(state, now)});
 }
 
+bool isServableBeforeExit(const DirectState &state, Instant now, const RouteSpec &route,
+                          Instant deadlineAt)
+{
+    return !isStopping(state)
+        || endsBeforeExit(state, now, timesOf(state, route.name_).total_, arrivalDeviations,
+                          deadlineAt);
+}
+
+bool isRunnableBeforeExit(const DirectState &state, Instant now, const DirectRequest &request)
+{
+    return !isStopping(state)
+        || endsBeforeExit(state, now, timesOf(state, request.route_->name_).run_, runDeviations,
+                          request.deadlineAt_);
+}
+
+void endForExit(DirectState &state, Instant now, std::uint64_t token, DirectEffects &effects)
+{
+    cancelWork(state, now, state.requests_.at(token), false, "stopping", effects);
+    failRequest(state, now, token, stoppingRetryAfter,
+                EndReason{"stopping", untilExitText(state, now)}, effects);
+}
+
+void endUnfinishable(DirectState &state, Instant now, DirectEffects &effects)
+{
+    if (now < state.nextExitCheckAt_)
+        return;
+    const bool exitDue = now >= state.exitAt_;
+    std::vector<std::uint64_t> ending;
+    for (const auto &[token, request] : state.requests_) {
+        const bool waiting = request.phase_ == DirectPhase::Planning;
+        if (exitDue || (waiting && !isRunnableBeforeExit(state, now, request)))
+            ending.push_back(token);
+    }
+    for (const std::uint64_t token : ending)
+        endForExit(state, now, token, effects);
+    state.nextExitCheckAt_ =
+        exitDue ? Instant::max() : std::min(now + exitCheckInterval, state.exitAt_);
+}
+
+void recordServiceTime(DirectState &state, Instant now, const DirectRequest &request)
+{
+    RouteTimes &times = state.routeTimes_[request.route_->name_];
+    addSample(times.total_, now - request.arrivedAt_);
+    addSample(times.run_, now - request.runStartedAt_);
+}
+
+void removeUnlistedRoutes(DirectState &state)
+{
+    const auto &routes = state.table_->view_->fleet_.routes_;
+    std::erase_if(state.routeTimes_, [&](const auto &item) {
+        return std::none_of(routes.begin(), routes.end(),
+                            [&](const RouteSpec &route) { return route.name_ == item.first; });
+    });
+}
+
 std::string untilExitText(const DirectState &state, Instant now)
 {
-    return state.exitAt_ == Instant::max()
-        ? std::string()
-        : " until_exit_ms=" + millisecondsText(state.exitAt_ - now);
+    if (!isStopping(state))
+        return {};
+    return " until_exit_ms=" + millisecondsText(state.exitAt_ - now);
 }
 
 } // namespace directing
--- a/packages/decision/tests/unit-direct.cpp
+++ b/packages/decision/tests/unit-direct.cpp
@@ -312,6 +312,176 @@
     BOOST_TEST(std::holds_alternative<PlanEnd>(effectsOf<SendToPeer>(effects)[0].message_));
 }
 
+struct StopRow
+{
+    const char *route_;
+    milliseconds callerTimeout_;
+    milliseconds servedIn_; ///< service time of an earlier request; 0: there was none
+    milliseconds untilExit_;
+    bool accepted_;
+};
+
+std::ostream &operator<<(std::ostream &stream, const StopRow &row)
+{
+    return stream << row.route_ << " timeout " << row.callerTimeout_.count() << " ms, served in "
+                  << row.servedIn_.count() << " ms, exit in " << row.untilExit_.count() << " ms";
+}
+
+// Routes time out after 2 s. After one measurement the deviation is half of the mean, so that three
+// times the measured time is required at arrival and two times for a run.
+const StopRow stopTable[] = {
+    {"unsafe", milliseconds(1500), milliseconds(0), milliseconds(1600), true},
+    {"unsafe", milliseconds(1500), milliseconds(0), milliseconds(1400), false},
+    {"unsafe", milliseconds(1500), milliseconds(400), milliseconds(1300), true},
+    {"unsafe", milliseconds(1500), milliseconds(500), milliseconds(1400), false},
+    {"stream", milliseconds(9000), milliseconds(0), milliseconds(2100), true},
+    {"stream", milliseconds(9000), milliseconds(0), milliseconds(1900), false},
+    {"stream", milliseconds(9000), milliseconds(600), milliseconds(1900), true},
+    {"stream", milliseconds(9000), milliseconds(700), milliseconds(1900), false},
+};
+
+// Serves one request of a route in a given time, so that its service time is known.
+void serveOne(DirectFixture &fixture, const std::string &route, milliseconds time)
+{
+    constexpr std::uint64_t token = 99;
+    const bool planned = route == "stream" || route == "resumable";
+    fixture.call(route, token);
+    if (planned)
+        fixture.grant("engine-1", token);
+    fixture.now_ += time;
+    fixture.handle(RunEnded{token, 1, planned ? RunEnd::Delivered : RunEnd::Held, 200, "", ""});
+}
+
+// Returns the number of messages that release what a scheduler has planned.
+std::size_t planEnds(const DirectEffects &effects)
+{
+    const auto sent = effectsOf<SendToPeer>(effects);
+    return static_cast<std::size_t>(std::count_if(sent.begin(), sent.end(), [](const auto &item) {
+        return std::holds_alternative<PlanEnd>(item.message_);
+    }));
+}
+
+BOOST_DATA_TEST_CASE(request_that_cannot_end_before_the_exit_is_refused_at_arrival,
+                     data::make(stopTable), row)
+{
+    DirectFixture fixture;
+    if (row.servedIn_ > milliseconds(0))
+        serveOne(fixture, row.route_, row.servedIn_);
+    fixture.handle(DirectStop{fixture.now_ + row.untilExit_});
+    const auto effects = fixture.call(row.route_, 2, row.callerTimeout_);
+    BOOST_TEST(fixture.state_.requests_.contains(2) == row.accepted_);
+    const auto refusals = effectsOf<RefuseCall>(effects);
+    BOOST_TEST(refusals.size() == (row.accepted_ ? 0u : 1u));
+    for (const RefuseCall &refusal : refusals) {
+        BOOST_TEST(refusal.status_ == 503u);
+        BOOST_TEST((refusal.retryAfter_ > nanoseconds(0)));
+    }
+}
+
+BOOST_AUTO_TEST_CASE(planned_request_that_cannot_end_before_the_exit_gets_no_run)
+{
+    DirectFixture fixture;
+    serveOne(fixture, "stream", milliseconds(300));
+    fixture.call("stream", 2, seconds(9));
+    fixture.handle(DirectStop{fixture.now_ + milliseconds(1000)});
+    BOOST_REQUIRE(fixture.state_.requests_.contains(2));
+    const DirectRequest request = fixture.state_.requests_.at(2);
+    fixture.now_ += milliseconds(450);
+    const auto effects = fixture.handle(PeerMessage{
+        "c1", PlanGrant{request.call_.id_, request.planRound_, "engine-2", 0, {"handle"}}});
+    BOOST_TEST(effectsOf<StartRun>(effects).empty());
+    BOOST_REQUIRE(effectsOf<RefuseCall>(effects).size() == 1u);
+    BOOST_TEST(effectsOf<RefuseCall>(effects)[0].status_ == 503u);
+    BOOST_TEST(planEnds(effects) == 1u);
+}
+
+// A request waits for a grant that doesn't come; nothing else happens at the entry.
+BOOST_AUTO_TEST_CASE(request_in_planning_is_refused_once_its_run_cannot_end_before_the_exit)
+{
+    DirectFixture fixture;
+    serveOne(fixture, "stream", milliseconds(300));
+    fixture.call("stream", 2, seconds(9));
+    fixture.handle(DirectStop{fixture.now_ + milliseconds(1000)});
+    DirectEffects effects;
+    while (fixture.state_.requests_.contains(2)) {
+        BOOST_REQUIRE((nextWake(fixture.state_) > fixture.now_));
+        fixture.now_ = nextWake(fixture.state_);
+        effects = fixture.handle(Wake{});
+    }
+    BOOST_TEST((fixture.now_ < fixture.state_.exitAt_ - milliseconds(500)));
+    BOOST_REQUIRE(effectsOf<RefuseCall>(effects).size() == 1u);
+    BOOST_TEST(effectsOf<RefuseCall>(effects)[0].status_ == 503u);
+    BOOST_TEST(planEnds(effects) == 1u);
+}
+
+struct RetryAtExitRow
+{
+    const char *route_;
+    RunEnd end_; ///< how the first run ends, 100 ms before the exit
+    bool responseStarted_;
+    unsigned refusalStatus_; ///< 0: the response is aborted
+};
+
+std::ostream &operator<<(std::ostream &stream, const RetryAtExitRow &row)
+{
+    return stream << row.route_ << " end " << static_cast<int>(row.end_);
+}
+
+const RetryAtExitRow retryAtExitTable[] = {
+    {"unsafe", RunEnd::NotSent, false, 503},   {"unsafe", RunEnd::NotExecuted, false, 503},
+    {"safe", RunEnd::Failed, false, 502},      {"stream", RunEnd::NotExecuted, false, 503},
+    {"resumable", RunEnd::Failed, false, 502}, {"resumable", RunEnd::Broken, true, 0},
+};
+
+BOOST_DATA_TEST_CASE(request_is_not_retried_if_the_retry_cannot_end_before_the_exit,
+                     data::make(retryAtExitTable), row)
+{
+    DirectFixture fixture;
+    fixture.call(row.route_, 1, seconds(9));
+    if (effectsOf<StartRun>(fixture.allEffects_).empty())
+        fixture.grant("engine-1");
+    if (row.responseStarted_)
+        fixture.handle(RunStarted{1, 1});
+    fixture.handle(DirectStop{fixture.now_ + milliseconds(100)});
+    const auto effects = fixture.handle(RunEnded{1, 1, row.end_, 0, "4", ""});
+    BOOST_TEST(effectsOf<StartRun>(effects).empty());
+    BOOST_TEST(fixture.state_.requests_.empty());
+    BOOST_TEST(effectsOf<AbortCall>(effects).size() == (row.refusalStatus_ == 0 ? 1u : 0u));
+    const auto refusals = effectsOf<RefuseCall>(effects);
+    BOOST_TEST((refusals.empty() ? 0u : refusals[0].status_) == row.refusalStatus_);
+}
+
+BOOST_AUTO_TEST_CASE(exit_answers_all_unfinished_requests)
+{
+    DirectFixture fixture;
+    fixture.call("unsafe", 1);
+    fixture.call("stream", 2);
+    fixture.grant("engine-1", 2);
+    fixture.handle(RunStarted{2, 1});
+    fixture.handle(DirectStop{fixture.now_ + milliseconds(1000)});
+    BOOST_TEST((nextWake(fixture.state_) <= fixture.now_ + milliseconds(1000)));
+    fixture.now_ += milliseconds(1000);
+    const auto effects = fixture.handle(Wake{});
+    BOOST_TEST(fixture.state_.requests_.empty());
+    BOOST_TEST(effectsOf<StopRun>(effects).size() == 2u);
+    BOOST_REQUIRE(effectsOf<RefuseCall>(effects).size() == 1u);
+    BOOST_TEST(effectsOf<RefuseCall>(effects)[0].status_ == 502u); // it may have been executed
+    BOOST_REQUIRE(effectsOf<AbortCall>(effects).size() == 1u);
+    BOOST_TEST(effectsOf<AbortCall>(effects)[0].token_ == 2u);
+    BOOST_TEST((nextWake(fixture.state_) == Instant::max()));
+}
+
+BOOST_AUTO_TEST_CASE(response_that_is_complete_at_the_exit_is_delivered)
+{
+    DirectFixture fixture;
+    fixture.call("unsafe", 1);
+    fixture.handle(DirectStop{fixture.now_ + milliseconds(1000)});
+    fixture.now_ += milliseconds(1010);
+    const auto effects = fixture.handle(RunEnded{1, 1, RunEnd::Held, 200, "", ""});
+    BOOST_TEST(effectsOf<DeliverHeld>(effects).size() == 1u);
+    BOOST_TEST(effectsOf<RefuseCall>(effects).empty());
+}
+
 BOOST_AUTO_TEST_CASE(requests_that_the_exit_interrupts_are_logged_with_their_times)
 {
     DirectFixture fixture;
--- a/packages/server/src/direct_thread.cpp
+++ b/packages/server/src/direct_thread.cpp
@@ -17,6 +17,8 @@
 constexpr nanoseconds acceptAfterStop = milliseconds(3200);
 // The process exits by itself this long before the grace period ends and it is killed.
 constexpr nanoseconds exitBeforeGraceEnd = milliseconds(400);
+// Requests that are still unfinished are answered this long before the process exits.
+constexpr nanoseconds lastAnswersTime = milliseconds(100);
 constexpr auto stopPollInterval = milliseconds(50);
 
 DirectSettings directSettings(const Settings &settings)
@@ -199,14 +201,16 @@
 
 void DirectThread::stop(nanoseconds grace, std::function<void()> onStopped)
 {
-    asio::post(context_, [this, grace, onStopped = std::move(onStopped)] {
-        stopRequestedAt_ = BootClock::now();
-        gracePeriod_ = grace;
-        onStopped_ = onStopped;
-        server_.closeAfterAnswers();
-        handle(DirectStop{stopRequestedAt_ + gracePeriod_ - exitBeforeGraceEnd});
-        pollStop();
-    });
+    asio::post(context_,
+               [this, grace, requestedAt = BootClock::now(), onStopped = std::move(onStopped)] {
+                   stopRequestedAt_ = requestedAt;
+                   gracePeriod_ = grace;
+                   onStopped_ = onStopped;
+                   server_.closeAfterAnswers();
+                   handle(DirectStop{stopRequestedAt_ + gracePeriod_ - exitBeforeGraceEnd
+                                     - lastAnswersTime});
+                   pollStop();
+               });
 }
 
 // The readiness probe fails from the moment of the stop request. Requests are accepted until the
