Close idle connections on which something can be read

An upstream that writes an answer once more after it is complete (a faulty one may, and late) had that answer read as the one to the next request on the kept connection, because IdleConnections::take() didn't look at the socket; keep() looks only at bytes that have been read already.

- Stage calls: their answers carry no id, so the results of one call were taken for those of the next one: pieces of one request got the results of another.
- Requests that may be repeated: a repeated "not executed" without an id made the entry report that the request hadn't run while the upstream was running it; an answer with another id cost a run.

Requests that must not run twice were not concerned: they take new connections.

take() now peeks and closes a connection on which bytes, the end of the stream or an error can be read: no answer can precede its request. Connections that the server has closed meanwhile are no longer tried first.

--- a/packages/server/include/chervilspring/detail/net/idle_connections.hpp
+++ b/packages/server/include/chervilspring/detail/net/idle_connections.hpp
@@ -35,6 +35,8 @@
 {
 public:
     /// @brief Takes the most recently used connection to a server out of the pool.
+    ///
+    /// Connections on which something can be read, or which the server has closed, are closed.
     /// @param server key of the server
     /// @return nullptr if there is none that the server should still keep open
     UpstreamConnectionPointer take(const std::string &server);
--- a/packages/server/include/chervilspring/detail/net/peer_disconnect.hpp
+++ b/packages/server/include/chervilspring/detail/net/peer_disconnect.hpp
@@ -1,5 +1,5 @@
 /// @file
-/// @brief Distinguishes a caller that has disconnected from one that sends its next request.
+/// @brief Looks at what a peer has sent without reading it.
 #pragma once
 
 #include <boost/asio/ip/tcp.hpp>
@@ -12,4 +12,9 @@
 /// have arrived yet
 bool isClosedByPeer(boost::asio::ip::tcp::socket &socket);
 
+/// @brief Whether the next read would not have to wait: bytes have arrived, or the peer has closed
+/// the connection, or it has failed. Peeks only.
+/// @param socket the socket; it is made non-blocking
+bool hasUnreadInput(boost::asio::ip::tcp::socket &socket);
+
 } // namespace chervilspring
--- a/packages/server/src/idle_connections.cpp
+++ b/packages/server/src/idle_connections.cpp
@@ -1,5 +1,7 @@
 #include "chervilspring/detail/net/idle_connections.hpp"
 
+#include "chervilspring/detail/net/peer_disconnect.hpp"
+
 #include <algorithm>
 #include <charconv>
 
@@ -41,13 +43,15 @@
     const Instant now = BootClock::now();
     auto &connections = found->second;
     std::erase_if(connections, [&](const auto &item) { return item->usableUntil_ < now; });
-    if (connections.empty()) {
-        idle_.erase(found);
-        return nullptr;
+    while (!connections.empty()) {
+        UpstreamConnectionPointer connection = std::move(connections.back());
+        connections.pop_back();
+        // What can be read before a request is written is not the answer to it.
+        if (!hasUnreadInput(connection->stream_.socket()))
+            return connection;
     }
-    UpstreamConnectionPointer connection = std::move(connections.back());
-    connections.pop_back();
-    return connection;
+    idle_.erase(found);
+    return nullptr;
 }
 
 void IdleConnections::keep(const std::string &server, UpstreamConnectionPointer connection,
--- a/packages/server/tests/unit-http_client.cpp
+++ b/packages/server/tests/unit-http_client.cpp
@@ -1,6 +1,7 @@
 // Tests detail/net/http_client.hpp: reuse of idle connections, and idle connections on which the
-// server no longer answers.
+// server no longer answers or sends bytes that belong to no call.
 #include "chervilspring/detail/net/http_client.hpp"
+#include "scripted_upstream.hpp"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -8,6 +9,8 @@
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/test/unit_test.hpp>
 
+#include <optional>
+
 namespace {
 
 using namespace chervilspring;
@@ -118,4 +121,39 @@
     BOOST_TEST((fixture.callConcurrently(1)[0].end_ == HttpCallEnd::Answered));
 }
 
+HttpCallResult callUpstream(asio::io_context &context, HttpClient &client, std::uint16_t port)
+{
+    HttpCall call;
+    call.address_ = "127.0.0.1";
+    call.port_ = port;
+    call.target_ = "/";
+    call.limit_ = seconds(2);
+    call.reuse_ = true;
+    std::optional<HttpCallResult> result;
+    asio::co_spawn(
+        context, client.perform(std::move(call)),
+        [&](std::exception_ptr, const HttpCallResult &callResult) { result = callResult; });
+    while (!result)
+        context.run_one();
+    context.run_for(milliseconds(20));
+    return *result;
+}
+
+// Answers to stage calls carry no id: a repeated one would give a request the results of another.
+BOOST_AUTO_TEST_CASE(bytes_on_an_idle_connection_are_not_read_as_the_answer_to_the_next_call)
+{
+    const auto answer = [](int number) {
+        return "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\n" + std::to_string(number);
+    };
+    asio::io_context context;
+    ScriptedUpstream upstream(
+        context, [&](int number, const ScriptedUpstream::Request &) { return answer(number); });
+    HttpClient client(context);
+    BOOST_TEST(callUpstream(context, client, upstream.port()).body_ == "1");
+    upstream.writeUnasked(answer(1));
+    context.run_for(milliseconds(20));
+    BOOST_TEST(callUpstream(context, client, upstream.port()).body_ == "2");
+    BOOST_TEST(upstream.connections() == 2);
+}
+
 } // namespace
--- /dev/null
+++ b/packages/server/tests/unit-run_client.cpp
@@ -0,0 +1,149 @@
+// Tests detail/net/run_client.hpp: answers that belong to no request or to an earlier one.
+#include "chervilspring/detail/net/run_client.hpp"
+#include "scripted_upstream.hpp"
+
+#include <boost/test/data/monomorphic.hpp>
+#include <boost/test/data/test_case.hpp>
+#include <boost/test/unit_test.hpp>
+
+namespace {
+
+using namespace chervilspring;
+namespace asio = boost::asio;
+namespace data = boost::unit_test::data;
+namespace http = boost::beast::http;
+using asio::ip::tcp;
+
+constexpr auto runTimeout = seconds(5); // a run on the loopback interface takes a few ms
+constexpr char idHeader[] = "Request-Id";
+constexpr char refusalHeader[] = "Not-Executed";
+
+RunAnswer decodeTestAnswer(const http::response_header<> &head, const std::string &requestId)
+{
+    RunAnswer answer;
+    const std::string_view id = head[idHeader];
+    answer.notExecuted_ = head.count(refusalHeader) > 0;
+    answer.matches_ = id == requestId || (id.empty() && answer.notExecuted_);
+    answer.fromUpstream_ = answer.matches_;
+    return answer;
+}
+
+const DirectProtocol &testProtocol()
+{
+    static const DirectProtocol protocol = [] {
+        DirectProtocol result{};
+        result.isReservedHeader_ = [](std::string_view) { return false; };
+        result.runHeaders_ = [](const StartRun &) { return std::vector<HttpHeader>{}; };
+        result.decodeAnswer_ = decodeTestAnswer;
+        return result;
+    }();
+    return protocol;
+}
+
+std::string answerText(const std::string &status, const std::string &headers,
+                       const std::string &body)
+{
+    return "HTTP/1.1 " + status + "\r\n" + headers
+        + "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+}
+
+std::string served(const std::string &id)
+{
+    return answerText("200 OK", std::string(idHeader) + ": " + id + "\r\n", "result of " + id);
+}
+
+/// A refusal without an execution; an empty id omits the header.
+std::string refused(const std::string &id)
+{
+    return answerText("503 Service Unavailable",
+                      std::string(refusalHeader) + ": 1\r\n"
+                          + (id.empty() ? "" : std::string(idHeader) + ": " + id + "\r\n"),
+                      "");
+}
+
+/// Runs requests at one upstream, one after the other.
+struct Fixture
+{
+    explicit Fixture(ScriptedUpstream::Script script) : upstream_(context_, std::move(script)) { }
+
+    StartRun makeRun(const std::string &id, bool repeatable)
+    {
+        StartRun command;
+        command.id_ = id;
+        command.token_ = ++lastToken_;
+        command.attempt_ = 1;
+        command.upstream_.name_ = "u";
+        command.upstream_.agentAddress_ = "127.0.0.1";
+        command.upstream_.agentPort_ = upstream_.port();
+        command.remaining_ = seconds(5);
+        command.repeatable_ = repeatable;
+        return command;
+    }
+
+    /// Runs a request and returns how often its end was reported; ended_ holds the last end.
+    std::size_t run(StartRun command, std::string body = {})
+    {
+        const std::size_t endsBefore = ends_.size();
+        HttpRequest request(http::verb::post, "/", 11);
+        request.set(idHeader, command.id_);
+        request.body() = std::move(body);
+        auto caller = std::make_shared<CallerConnection>(tcp::socket(context_), context_);
+        client_.start(std::move(command),
+                      std::make_shared<DirectExchange>(lastToken_, std::move(caller),
+                                                       std::move(request), true));
+        const auto until = std::chrono::steady_clock::now() + runTimeout;
+        while (ends_.size() == endsBefore && std::chrono::steady_clock::now() < until)
+            context_.run_one_for(milliseconds(50));
+        settle();
+        return ends_.size() - endsBefore;
+    }
+
+    /// Lets the upstream and the client handle what is under way.
+    void settle() { context_.run_for(milliseconds(20)); }
+
+    const RunEnded &lastEnd() const { return ends_.back(); }
+
+    asio::io_context context_;
+    ScriptedUpstream upstream_;
+    std::vector<RunEnded> ends_;
+    RunClient client_{context_, testProtocol(),
+                      RunHandlers{[](const RunStarted &) {},
+                                  [this](const RunEnded &end) { ends_.push_back(end); }}};
+    std::uint64_t lastToken_ = 0;
+};
+
+struct ExtraAnswerRow
+{
+    const char *description_;
+    std::string extraAnswer_; ///< belongs to no request
+};
+
+std::ostream &operator<<(std::ostream &stream, const ExtraAnswerRow &row)
+{
+    return stream << row.description_;
+}
+
+const ExtraAnswerRow extraAnswerTable[] = {
+    {"refusal without an id", refused("")},
+    {"refusal of the earlier request", refused("first")},
+    {"repeated answer of the earlier request", served("first")},
+    {"bytes that are no answer", "garbage\r\n\r\n"},
+};
+
+BOOST_DATA_TEST_CASE(bytes_on_an_idle_connection_are_not_read_as_the_next_answer,
+                     data::make(extraAnswerTable), row)
+{
+    Fixture fixture([](int, const ScriptedUpstream::Request &request) {
+        return served(std::string(request[idHeader]));
+    });
+    BOOST_REQUIRE(fixture.run(fixture.makeRun("first", true)) == 1u);
+    BOOST_REQUIRE((fixture.lastEnd().end_ == RunEnd::Held));
+    fixture.upstream_.writeUnasked(row.extraAnswer_);
+    fixture.settle();
+    BOOST_REQUIRE(fixture.run(fixture.makeRun("second", true)) == 1u);
+    BOOST_TEST((fixture.lastEnd().end_ == RunEnd::Held), fixture.lastEnd().detail_);
+    BOOST_TEST(fixture.upstream_.connections() == 2);
+    BOOST_TEST(fixture.upstream_.requests() == 2);
+}
+
+} // namespace
