Take a refusal without an id as the answer only on a new connection

An upstream that wrote an earlier refusal once more, after the next request had been written on the kept connection, made the entry count that request as not executed if the refusal had no request id: the upstream went on running it, the entry sent it to another one without counting a possible execution (more upstreams than the route's max_attempts allow), and a caller whose request could not be sent again was told 503, "has not run and will not".

Only requests that may be repeated can be hit, since the others take new connections; refusals with the id of the earlier request already counted as a possible execution.

The answer's decoder now tells whether the id was there (identified_). On a connection that was used before, a refusal without it ends the run as Failed: it may have run.

--- a/packages/server/include/chervilspring/detail/net/direct_protocol.hpp
+++ b/packages/server/include/chervilspring/detail/net/direct_protocol.hpp
@@ -17,7 +17,8 @@
 /// @brief Decoded head of an upstream's answer.
 struct RunAnswer
 {
-    bool matches_ = false; ///< the answer belongs to this request
+    bool matches_ = false; ///< the answer has the id of this request, or may belong to it
+    bool identified_ = false; ///< the answer has the id of this request
     bool notExecuted_ = false; ///< the upstream did not run the request
     bool inputsGone_ = false; ///< stage results that the request needs no longer exist
     bool fromUpstream_ = false; ///< judging by the head, the upstream itself sent the answer
--- a/packages/server/src/run_client.cpp
+++ b/packages/server/src/run_client.cpp
@@ -257,6 +257,14 @@
     const auto &head = run->parser_->get();
     const RunAnswer answer = protocol_.decodeAnswer_(head, run->command_.id_);
     end.status_ = head.result_int();
+    // Without an id, only the first answer on a connection is known to belong to the request: an
+    // upstream may write the refusal of an earlier one again.
+    if (answer.matches_ && !answer.identified_ && run->connectionReused_) {
+        end.end_ = RunEnd::Failed;
+        end.detail_ = "status " + std::to_string(end.status_)
+            + " without a request id on a connection that was used before";
+        co_return false;
+    }
     if (answer.matches_ && (answer.notExecuted_ || answer.inputsGone_)) {
         end.end_ = answer.inputsGone_ ? RunEnd::InputsGone : RunEnd::NotExecuted;
         end.detail_ = "status " + std::to_string(end.status_);
--- a/packages/server/tests/unit-run_client.cpp
+++ b/packages/server/tests/unit-run_client.cpp
@@ -23,7 +23,8 @@
     RunAnswer answer;
     const std::string_view id = head[idHeader];
     answer.notExecuted_ = head.count(refusalHeader) > 0;
-    answer.matches_ = id == requestId || (id.empty() && answer.notExecuted_);
+    answer.identified_ = id == requestId;
+    answer.matches_ = answer.identified_ || (id.empty() && answer.notExecuted_);
     answer.fromUpstream_ = answer.matches_;
     return answer;
 }
@@ -112,6 +113,11 @@
     std::uint64_t lastToken_ = 0;
 };
 
+bool isPossibleExecution(const RunEnded &end)
+{
+    return end.end_ == RunEnd::Failed || end.end_ == RunEnd::TimedOut || end.end_ == RunEnd::Broken;
+}
+
 struct ExtraAnswerRow
 {
     const char *description_;
@@ -146,4 +152,67 @@
     BOOST_TEST(fixture.upstream_.requests() == 2);
 }
 
+// The extra answer arrives after the second request was written, ahead of its true answer.
+BOOST_DATA_TEST_CASE(extra_answer_ahead_of_the_true_one_counts_as_a_possible_execution,
+                     data::make(extraAnswerTable), row)
+{
+    Fixture fixture([&](int number, const ScriptedUpstream::Request &request) {
+        return (number == 2 ? row.extraAnswer_ : "") + served(std::string(request[idHeader]));
+    });
+    BOOST_REQUIRE(fixture.run(fixture.makeRun("first", true)) == 1u);
+    BOOST_REQUIRE(fixture.run(fixture.makeRun("second", true)) == 1u);
+    BOOST_REQUIRE(fixture.upstream_.connections() == 1);
+    BOOST_TEST(isPossibleExecution(fixture.lastEnd()), fixture.lastEnd().detail_);
+    // The connection, on which the true answer is still to be read, is not used again.
+    BOOST_REQUIRE(fixture.run(fixture.makeRun("third", true)) == 1u);
+    BOOST_TEST((fixture.lastEnd().end_ == RunEnd::Held), fixture.lastEnd().detail_);
+    BOOST_TEST(fixture.upstream_.connections() == 2);
+}
+
+struct RefusalRow
+{
+    const char *description_;
+    bool repeatable_;
+    std::string answer_; ///< answer to the first request on a new connection
+    RunEnd expected_;
+};
+
+std::ostream &operator<<(std::ostream &stream, const RefusalRow &row)
+{
+    return stream << row.description_;
+}
+
+const RefusalRow refusalTable[] = {
+    {"refusal with the id", false, refused("first"), RunEnd::NotExecuted},
+    {"refusal without an id", false, refused(""), RunEnd::NotExecuted},
+    {"refusal of another request", false, refused("other"), RunEnd::Failed},
+    {"refusal with the id, repeatable", true, refused("first"), RunEnd::NotExecuted},
+    {"refusal without an id, repeatable", true, refused(""), RunEnd::NotExecuted},
+};
+
+BOOST_DATA_TEST_CASE(first_answer_on_a_new_connection_may_refuse_without_an_id,
+                     data::make(refusalTable), row)
+{
+    Fixture fixture([&](int, const ScriptedUpstream::Request &) { return row.answer_; });
+    BOOST_REQUIRE(fixture.run(fixture.makeRun("first", row.repeatable_)) == 1u);
+    BOOST_TEST((fixture.lastEnd().end_ == row.expected_), fixture.lastEnd().detail_);
+    // A connection on which a request was refused is not used again.
+    fixture.run(fixture.makeRun("second", true));
+    BOOST_TEST(fixture.upstream_.connections() == 2);
+}
+
+BOOST_AUTO_TEST_CASE(request_that_must_not_run_twice_takes_a_new_connection)
+{
+    Fixture fixture([](int, const ScriptedUpstream::Request &request) {
+        return served(std::string(request[idHeader]));
+    });
+    BOOST_REQUIRE(fixture.run(fixture.makeRun("first", true)) == 1u);
+    BOOST_REQUIRE(fixture.run(fixture.makeRun("second", false)) == 1u);
+    BOOST_TEST((fixture.lastEnd().end_ == RunEnd::Held));
+    BOOST_TEST(fixture.upstream_.connections() == 2);
+    // Its own connection isn't kept either.
+    BOOST_REQUIRE(fixture.run(fixture.makeRun("third", false)) == 1u);
+    BOOST_TEST(fixture.upstream_.connections() == 3);
+}
+
 } // namespace
