Count a request that was sent twice as possibly executed

If a kept connection broke before any byte of the answer, RunClient sends the request once more on a new connection within the same run. When that second send was refused or could not connect, the run was reported as not executed, although the upstream may have executed what it got first. The caller was then told 503, and the possible execution counted neither against max_attempts nor in the log. Only requests that may be repeated use kept connections.

The second send now ends as Failed unless it yields an answer to the request.

--- a/packages/server/src/run_client.cpp
+++ b/packages/server/src/run_client.cpp
@@ -165,9 +165,12 @@
         run->connection_.reset();
         idle_.closeAll(connectionKey(run->command_.upstream_));
         end.detail_.clear();
-        if (!co_await connect(run, end))
-            co_return end;
-        headRead = co_await exchangeHeads(run, end, noAnswerBytes);
+        headRead = co_await connect(run, end) && co_await exchangeHeads(run, end, noAnswerBytes);
+        // The upstream may have executed what was sent first, so a refusal proves nothing.
+        if (!headRead) {
+            end.end_ = RunEnd::Failed;
+            end.detail_ = "sent twice, an idle connection broke: " + end.detail_;
+        }
     }
     if (!headRead)
         co_return end;
--- a/packages/server/tests/unit-run_client.cpp
+++ b/packages/server/tests/unit-run_client.cpp
@@ -215,4 +215,42 @@
     BOOST_TEST(fixture.upstream_.connections() == 3);
 }
 
+struct ResendRow
+{
+    const char *description_;
+    bool listening_; ///< the upstream accepts the second connection
+    std::string secondAnswer_; ///< answer on the second connection
+    RunEnd expected_;
+};
+
+std::ostream &operator<<(std::ostream &stream, const ResendRow &row)
+{
+    return stream << row.description_;
+}
+
+const ResendRow resendTable[] = {
+    {"served", true, served("second"), RunEnd::Held},
+    {"refused", true, refused("second"), RunEnd::Failed},
+    {"refused without an id", true, refused(""), RunEnd::Failed},
+    {"no connection", false, "", RunEnd::Failed},
+};
+
+// The upstream reads the second request on the kept connection, where it may run, and closes the
+// connection without an answer.
+BOOST_DATA_TEST_CASE(request_resent_after_a_broken_kept_connection_may_have_run,
+                     data::make(resendTable), row)
+{
+    Fixture fixture([&](int number, const ScriptedUpstream::Request &request) {
+        if (number == 2)
+            return std::string();
+        return number == 1 ? served(std::string(request[idHeader])) : row.secondAnswer_;
+    });
+    BOOST_REQUIRE(fixture.run(fixture.makeRun("first", true)) == 1u);
+    if (!row.listening_)
+        fixture.upstream_.stopListening();
+    BOOST_REQUIRE(fixture.run(fixture.makeRun("second", true)) == 1u);
+    BOOST_TEST(fixture.upstream_.requests() == (row.listening_ ? 3 : 2));
+    BOOST_TEST((fixture.lastEnd().end_ == row.expected_), fixture.lastEnd().detail_);
+}
+
 } // namespace
