Report the end of every run and stage call, also after an exception

An exception in the coroutine of a run or a stage call ended it without a report, since asio::detached drops exceptions: the request waited for its deadline although another upstream could have served it, the stage upstream counted as busy for good and the pieces of its call waited. An exception from building the request's head left start() and ended the process. The case at hand is an upstream whose announced address is no IP address: asio::ip::make_address throws.

RunClient::perform and performStageCall are now the two places that turn an exception into an end, with a log line at level error. A run that throws before its request is written ends as NotSent, later as Failed; if part of the answer was sent, the caller's connection is closed and it ends as Broken. An address that is no IP address is an error of the connect, not an exception. Coroutines of these two classes log what leaves them. HttpClient itself doesn't catch: the agent cancels its calls, and a cancellation is an exception too.

--- a/packages/server/src/http_client.cpp
+++ b/packages/server/src/http_client.cpp
@@ -1,5 +1,7 @@
 #include "chervilspring/detail/net/http_client.hpp"
 
+#include "chervilspring/detail/net/connect.hpp"
+
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
@@ -81,8 +83,7 @@
     beast::tcp_stream &stream = connection->stream_;
     stream.expires_after(std::min<nanoseconds>(connectTimeout, call.limit_));
     boost::system::error_code error;
-    const tcp::endpoint endpoint(asio::ip::make_address(call.address_), call.port_);
-    co_await stream.async_connect(endpoint, asio::redirect_error(use_awaitable, error));
+    co_await connectTo(stream, call.address_, call.port_, error);
     if (error)
         co_return HttpCallResult{HttpCallEnd::Unreachable, 0, {}, {}, error.message(), {}, {}};
     boost::system::error_code ignored;
--- a/packages/server/src/run_client.cpp
+++ b/packages/server/src/run_client.cpp
@@ -1,10 +1,11 @@
 #include "chervilspring/detail/net/run_client.hpp"
 
+#include "chervilspring/detail/net/connect.hpp"
+#include "chervilspring/detail/net/coroutine_end.hpp"
 #include "chervilspring/detail/net/event_splitter.hpp"
 #include "chervilspring/detail/net/forwarded_heads.hpp"
 
 #include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
@@ -42,6 +43,7 @@
     DirectExchangePointer exchange_;
     UpstreamConnectionPointer connection_;
     std::string requestHead_; ///< head of the request as sent to the upstream
+    bool requestSent_ = false; ///< writing the request was started, on any connection
     bool requestWritten_ = false; ///< the complete request was written
     bool stopped_ = false; ///< stop() was called for this run
     bool connectionReused_ = false; ///< the connection came from the pool
@@ -90,9 +92,8 @@
     auto run = std::make_shared<Run>();
     run->command_ = std::move(command);
     run->exchange_ = std::move(exchange);
-    run->requestHead_ = forwardedRequestHead(run->exchange_->request(), protocol_, run->command_);
     runs_[{run->command_.token_, run->command_.attempt_}] = run;
-    asio::co_spawn(context_, perform(run), asio::detached);
+    asio::co_spawn(context_, perform(run), LogException{"run"});
 }
 
 void RunClient::stop(std::uint64_t token, std::uint32_t attempt)
@@ -125,7 +126,7 @@
 
 void RunClient::probe(const Upstream &upstream, std::function<void(bool reachable)> done)
 {
-    asio::co_spawn(context_, tryConnect(upstream, std::move(done)), asio::detached);
+    asio::co_spawn(context_, tryConnect(upstream, std::move(done)), LogException{"probe"});
 }
 
 asio::awaitable<void> RunClient::tryConnect(Upstream upstream,
@@ -134,17 +135,37 @@
     beast::tcp_stream stream(context_);
     stream.expires_after(connectTimeout);
     boost::system::error_code error;
-    co_await stream.async_connect(
-        tcp::endpoint(asio::ip::make_address(upstream.agentAddress_), upstream.agentPort_),
-        asio::redirect_error(use_awaitable, error));
+    co_await connectTo(stream, upstream.agentAddress_, upstream.agentPort_, error);
     done(!error);
 }
 
+// The end of a run that an exception has left.
+RunEnded RunClient::failedRun(const Run &run, const std::string &reason)
+{
+    RunEnded end;
+    end.token_ = run.command_.token_;
+    end.attempt_ = run.command_.attempt_;
+    end.end_ = run.requestSent_ ? RunEnd::Failed : RunEnd::NotSent;
+    end.detail_ = reason;
+    if (!run.exchange_->headSent())
+        return end;
+    // Which events were sent is not known exactly, so the answer can't be continued.
+    run.exchange_->abort();
+    end.end_ = RunEnd::Broken;
+    return end;
+}
+
 asio::awaitable<void> RunClient::perform(RunPointer run)
 {
     // Defers the start so that the owner's reducer is not re-entered while it applies effects.
     co_await asio::post(context_, use_awaitable);
-    RunEnded end = co_await runAttempt(run);
+    RunEnded end;
+    try {
+        end = co_await runAttempt(run);
+    } catch (const std::exception &error) {
+        logException("run", error);
+        end = failedRun(*run, error.what());
+    }
     runs_.erase({run->command_.token_, run->command_.attempt_});
     run->connection_.reset();
     if (!run->stopped_)
@@ -157,6 +178,7 @@
     end.token_ = run->command_.token_;
     end.attempt_ = run->command_.attempt_;
     bool noAnswerBytes = false;
+    run->requestHead_ = forwardedRequestHead(run->exchange_->request(), protocol_, run->command_);
     if (run->stopped_ || !co_await connect(run, end))
         co_return end;
     bool headRead = co_await exchangeHeads(run, end, noAnswerBytes);
@@ -213,9 +235,7 @@
     beast::tcp_stream &stream = run->connection_->stream_;
     stream.expires_after(std::min<nanoseconds>(connectTimeout, run->command_.remaining_));
     boost::system::error_code error;
-    const tcp::endpoint endpoint(asio::ip::make_address(upstream.agentAddress_),
-                                 upstream.agentPort_);
-    co_await stream.async_connect(endpoint, asio::redirect_error(use_awaitable, error));
+    co_await connectTo(stream, upstream.agentAddress_, upstream.agentPort_, error);
     if (error || run->stopped_) {
         end.end_ = RunEnd::NotSent;
         end.detail_ = "connect: " + error.message();
@@ -231,6 +251,7 @@
 // long body. The handler keeps the run alive until the write has ended.
 void RunClient::sendRequest(const RunPointer &run)
 {
+    run->requestSent_ = true;
     run->requestWritten_ = false;
     const std::array<asio::const_buffer, 2> buffers = {
         asio::buffer(run->requestHead_), asio::buffer(run->exchange_->request().body())};
--- a/packages/server/src/scheduler_thread.cpp
+++ b/packages/server/src/scheduler_thread.cpp
@@ -1,11 +1,12 @@
 #include "chervilspring/detail/process/scheduler_thread.hpp"
 
+#include "chervilspring/detail/net/coroutine_end.hpp"
+#include "chervilspring/detail/net/stage_calls.hpp"
 #include "chervilspring/detail/process/node_thread.hpp"
 #include "chervilspring/digest.hpp"
 #include "chervilspring/log.hpp"
 
 #include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/post.hpp>
 
 namespace chervilspring {
@@ -86,10 +87,12 @@
                        [&](StartStageCall &e) {
                            metrics_.count("stage_calls_total");
                            metrics_.count("stage_pieces_total", e.items_.size());
-                           asio::co_spawn(context_, callStage(std::move(e)), asio::detached);
+                           asio::co_spawn(context_, callStage(std::move(e)),
+                                          LogException{"stage call"});
                        },
                        [&](FreeResults &e) {
-                           asio::co_spawn(context_, freeResults(std::move(e)), asio::detached);
+                           asio::co_spawn(context_, freeResults(std::move(e)),
+                                          LogException{"freeing of stage results"});
                        },
                        [](const DecisionLine &e) { writeLog(LogLevel::Info, e.text_); },
                    },
@@ -100,11 +103,7 @@
 asio::awaitable<void> SchedulerThread::callStage(StartStageCall call)
 {
     const Instant startedAt = BootClock::now();
-    HttpCall request = protocol_.encodeStageCall_(call);
-    request.limit_ = call.limit_;
-    request.reuse_ = true;
-    const HttpCallResult result = co_await client_.perform(std::move(request));
-    const StageCallEnded ended = protocol_.decodeStageCall_(call, result);
+    const StageCallEnded ended = co_await performStageCall(client_, protocol_, std::move(call));
     metrics_.observe("stage_call_seconds", "", BootClock::now() - startedAt);
     if (ended.end_ != StageCallEnd::Done)
         metrics_.count("stage_calls_failed_total");
--- /dev/null
+++ b/packages/server/src/stage_calls.cpp
@@ -0,0 +1,38 @@
+#include "chervilspring/detail/net/stage_calls.hpp"
+
+#include "chervilspring/detail/net/coroutine_end.hpp"
+
+namespace chervilspring {
+
+namespace asio = boost::asio;
+
+namespace {
+
+asio::awaitable<StageCallEnded> sendStageCall(HttpClient &client, const DirectProtocol &protocol,
+                                              StartStageCall call)
+{
+    HttpCall request = protocol.encodeStageCall_(call);
+    request.limit_ = call.limit_;
+    request.reuse_ = true;
+    const HttpCallResult result = co_await client.perform(std::move(request));
+    co_return protocol.decodeStageCall_(call, result);
+}
+
+} // namespace
+
+asio::awaitable<StageCallEnded> performStageCall(HttpClient &client, const DirectProtocol &protocol,
+                                                 StartStageCall call)
+{
+    StageCallEnded ended;
+    ended.call_ = call.call_;
+    try {
+        ended = co_await sendStageCall(client, protocol, std::move(call));
+    } catch (const std::exception &error) {
+        logException("stage call", error);
+        ended.end_ = StageCallEnd::Failed;
+        ended.detail_ = error.what();
+    }
+    co_return ended;
+}
+
+} // namespace chervilspring
--- a/packages/server/tests/unit-http_client.cpp
+++ b/packages/server/tests/unit-http_client.cpp
@@ -121,18 +121,21 @@
     BOOST_TEST((fixture.callConcurrently(1)[0].end_ == HttpCallEnd::Answered));
 }
 
-HttpCallResult callUpstream(asio::io_context &context, HttpClient &client, std::uint16_t port)
+HttpCallResult callUpstream(asio::io_context &context, HttpClient &client, std::uint16_t port,
+                            const std::string &address = "127.0.0.1")
 {
     HttpCall call;
-    call.address_ = "127.0.0.1";
+    call.address_ = address;
     call.port_ = port;
     call.target_ = "/";
     call.limit_ = seconds(2);
     call.reuse_ = true;
     std::optional<HttpCallResult> result;
-    asio::co_spawn(
-        context, client.perform(std::move(call)),
-        [&](std::exception_ptr, const HttpCallResult &callResult) { result = callResult; });
+    asio::co_spawn(context, client.perform(std::move(call)),
+                   [&](const std::exception_ptr &exception, const HttpCallResult &callResult) {
+                       BOOST_TEST(!exception);
+                       result = callResult;
+                   });
     while (!result)
         context.run_one();
     context.run_for(milliseconds(20));
@@ -156,4 +159,13 @@
     BOOST_TEST(upstream.connections() == 2);
 }
 
+BOOST_AUTO_TEST_CASE(call_to_an_address_that_is_no_ip_address_is_reported_as_unreachable)
+{
+    asio::io_context context;
+    HttpClient client(context);
+    const HttpCallResult result = callUpstream(context, client, 80, "no address");
+    BOOST_TEST((result.end_ == HttpCallEnd::Unreachable));
+    BOOST_TEST(!result.detail_.empty());
+}
+
 } // namespace
--- a/packages/server/tests/unit-run_client.cpp
+++ b/packages/server/tests/unit-run_client.cpp
@@ -1,4 +1,5 @@
-// Tests detail/net/run_client.hpp: answers that belong to no request or to an earlier one.
+// Tests detail/net/run_client.hpp: answers that belong to no request or to an earlier one, and runs
+// that can't be carried out.
 #include "chervilspring/detail/net/run_client.hpp"
 #include "scripted_upstream.hpp"
 
@@ -6,6 +7,8 @@
 #include <boost/test/data/test_case.hpp>
 #include <boost/test/unit_test.hpp>
 
+#include <stdexcept>
+
 namespace {
 
 using namespace chervilspring;
@@ -65,7 +68,13 @@
 /// Runs requests at one upstream, one after the other.
 struct Fixture
 {
-    explicit Fixture(ScriptedUpstream::Script script) : upstream_(context_, std::move(script)) { }
+    explicit Fixture(ScriptedUpstream::Script script,
+                     const DirectProtocol &protocol = testProtocol())
+        : upstream_(context_, std::move(script)),
+          client_(context_, protocol,
+                  RunHandlers{[](const RunStarted &) {},
+                              [this](const RunEnded &end) { ends_.push_back(end); }})
+    { }
 
     StartRun makeRun(const std::string &id, bool repeatable)
     {
@@ -107,9 +116,7 @@
     asio::io_context context_;
     ScriptedUpstream upstream_;
     std::vector<RunEnded> ends_;
-    RunClient client_{context_, testProtocol(),
-                      RunHandlers{[](const RunStarted &) {},
-                                  [this](const RunEnded &end) { ends_.push_back(end); }}};
+    RunClient client_;
     std::uint64_t lastToken_ = 0;
 };
 
@@ -253,4 +260,64 @@
     BOOST_TEST((fixture.lastEnd().end_ == row.expected_), fixture.lastEnd().detail_);
 }
 
+struct ExceptionRow
+{
+    const char *description_;
+    const char *address_; ///< address of the upstream
+    void (*alter_)(DirectProtocol &protocol); ///< makes a step of the protocol throw
+    RunEnd expected_;
+};
+
+std::ostream &operator<<(std::ostream &stream, const ExceptionRow &row)
+{
+    return stream << row.description_;
+}
+
+const ExceptionRow exceptionTable[] = {
+    {"address that is no IP address", "no address", [](DirectProtocol &) {}, RunEnd::NotSent},
+    {"exception before the request is sent", "127.0.0.1",
+     [](DirectProtocol &protocol) {
+         protocol.runHeaders_ = [](const StartRun &) -> std::vector<HttpHeader> {
+             throw std::runtime_error("no headers");
+         };
+     },
+     RunEnd::NotSent},
+    {"exception after the request was sent", "127.0.0.1",
+     [](DirectProtocol &protocol) {
+         protocol.decodeAnswer_ = [](const http::response_header<> &,
+                                     const std::string &) -> RunAnswer {
+             throw std::runtime_error("no answer");
+         };
+     },
+     RunEnd::Failed},
+};
+
+BOOST_DATA_TEST_CASE(run_that_throws_ends_exactly_once, data::make(exceptionTable), row)
+{
+    DirectProtocol protocol = testProtocol();
+    row.alter_(protocol);
+    Fixture fixture(
+        [](int, const ScriptedUpstream::Request &request) {
+            return served(std::string(request[idHeader]));
+        },
+        protocol);
+    StartRun command = fixture.makeRun("first", false);
+    command.upstream_.agentAddress_ = row.address_;
+    BOOST_REQUIRE(fixture.run(command) == 1u);
+    BOOST_TEST((fixture.lastEnd().end_ == row.expected_), fixture.lastEnd().detail_);
+    BOOST_TEST(fixture.lastEnd().token_ == command.token_);
+    BOOST_TEST(fixture.lastEnd().attempt_ == command.attempt_);
+}
+
+BOOST_AUTO_TEST_CASE(probe_of_an_address_that_is_no_ip_address_reports_unreachable)
+{
+    Fixture fixture([](int, const ScriptedUpstream::Request &) { return std::string("unused"); });
+    Upstream upstream;
+    upstream.agentAddress_ = "no address";
+    std::vector<bool> results;
+    fixture.client_.probe(upstream, [&](bool reachable) { results.push_back(reachable); });
+    fixture.settle();
+    BOOST_TEST((results == std::vector<bool>{false}));
+}
+
 } // namespace
