Close the connection of a stage call that had no usable answer

Answers to stage calls carry no id. When an upstream wrote the refusal of an earlier call once more (or any other bytes that make a whole answer), the call ended with it, the connection was kept, and the true answer, which came later, was read as that of the next call if that one had been written by then: pieces of one request got the results of another.

Before, answer_to_a_call_is_not_read_as_that_of_the_next_one_after_a_refusal (with the check taken out): check fixture.call().detail_ == "answer 3" has failed [answer 2 != answer 3] check fixture.upstream_.connections() == 2 has failed [1 != 2]

The idle connections to the upstream are now closed after a call that ended otherwise than Done, so a true refusal costs a new connection.

--- a/packages/server/include/chervilspring/detail/net/http_client.hpp
+++ b/packages/server/include/chervilspring/detail/net/http_client.hpp
@@ -64,6 +64,12 @@
     boost::asio::awaitable<HttpCallResult>
     perform(HttpCall call, std::function<void(const std::string &)> onEvent = {});
 
+    /// @brief Closes the idle connections to a server, on which answers to earlier calls may still
+    /// arrive.
+    /// @param address IP address of the server
+    /// @param port port of the server
+    void closeIdle(const std::string &address, std::uint16_t port);
+
 private:
     /// Makes a call on an open connection. receivedBytes: set if bytes of an answer have arrived.
     boost::asio::awaitable<HttpCallResult>
--- a/packages/server/src/http_client.cpp
+++ b/packages/server/src/http_client.cpp
@@ -18,10 +18,15 @@
 constexpr std::size_t maxIdlePerServer = 64; // idle connections
 constexpr auto connectTimeout = milliseconds(1000);
 
+std::string serverKey(const std::string &address, std::uint16_t port)
+{
+    return address + ":" + std::to_string(port);
+}
+
 http::request<http::string_body> makeRequest(const HttpCall &call)
 {
     http::request<http::string_body> request(http::string_to_verb(call.method_), call.target_, 11);
-    request.set(http::field::host, call.address_ + ":" + std::to_string(call.port_));
+    request.set(http::field::host, serverKey(call.address_, call.port_));
     request.set(http::field::content_type, "application/json");
     for (const HttpHeader &header : call.headers_)
         request.set(header.name_, header.value_);
@@ -49,11 +54,6 @@
     searchOffset = pending.empty() ? 0 : pending.size() - 1;
 }
 
-std::string serverKey(const HttpCall &call)
-{
-    return call.address_ + ":" + std::to_string(call.port_);
-}
-
 HttpCallEnd toCallEnd(const boost::system::error_code &error)
 {
     return error == beast::error::timeout ? HttpCallEnd::TimedOut : HttpCallEnd::Broken;
@@ -66,7 +66,7 @@
 asio::awaitable<HttpCallResult>
 HttpClient::perform(HttpCall call, std::function<void(const std::string &)> onEvent)
 {
-    const std::string server = serverKey(call);
+    const std::string server = serverKey(call.address_, call.port_);
     bool receivedBytes = false;
     if (auto connection = call.reuse_ ? idle_.take(server) : nullptr) {
         HttpCallResult result =
@@ -91,6 +91,11 @@
     co_return co_await performOn(std::move(connection), call, onEvent, receivedBytes);
 }
 
+void HttpClient::closeIdle(const std::string &address, std::uint16_t port)
+{
+    idle_.closeAll(serverKey(address, port));
+}
+
 asio::awaitable<HttpCallResult>
 HttpClient::performOn(UpstreamConnectionPointer connection, const HttpCall &call,
                       std::function<void(const std::string &)> onEvent, bool &receivedBytes)
@@ -138,7 +143,8 @@
         result.headers_.push_back({std::string(field.name_string()), std::string(field.value())});
     stream.expires_never();
     if (call.reuse_ && parser.get().keep_alive())
-        idle_.keep(serverKey(call), std::move(connection), parser.get().base(), maxIdlePerServer);
+        idle_.keep(serverKey(call.address_, call.port_), std::move(connection), parser.get().base(),
+                   maxIdlePerServer);
     result.body_ = std::move(parser.get().body());
     co_return result;
 }
--- a/packages/server/src/stage_calls.cpp
+++ b/packages/server/src/stage_calls.cpp
@@ -15,7 +15,12 @@
     request.limit_ = call.limit_;
     request.reuse_ = true;
     const HttpCallResult result = co_await client.perform(std::move(request));
-    co_return protocol.decodeStageCall_(call, result);
+    StageCallEnded ended = protocol.decodeStageCall_(call, result);
+    // Answers carry no id: one that isn't the expected kind may belong to an earlier call, and the
+    // true one would be read as that of the next call.
+    if (ended.end_ != StageCallEnd::Done)
+        client.closeIdle(call.upstream_.agentAddress_, call.upstream_.agentPort_);
+    co_return ended;
 }
 
 } // namespace
--- a/packages/server/tests/scripted_upstream.hpp
+++ b/packages/server/tests/scripted_upstream.hpp
@@ -52,6 +52,13 @@
         boost::asio::write(*sockets_.back(), boost::asio::buffer(bytes));
     }
 
+    /// @brief Writes bytes ahead of the next answer on the connection that was accepted last.
+    void writeBeforeNextAnswer(const std::string &bytes)
+    {
+        delayedBytes_ = bytes;
+        delayedSocket_ = sockets_.back();
+    }
+
 private:
     using SocketPointer = std::shared_ptr<boost::asio::ip::tcp::socket>;
 
@@ -80,7 +87,9 @@
                 boost::asio::redirect_error(boost::asio::use_awaitable, error));
             if (error)
                 co_return;
-            const std::string bytes = script_(++requests_, request);
+            std::string bytes = script_(++requests_, request);
+            if (socket == delayedSocket_)
+                bytes.insert(0, std::exchange(delayedBytes_, {}));
             if (bytes.empty()) {
                 socket->close();
                 co_return;
@@ -97,6 +106,8 @@
     Script script_;
     std::vector<SocketPointer> sockets_; ///< all accepted connections, in order
     int requests_ = 0;
+    std::string delayedBytes_; ///< written on delayedSocket_ ahead of the next answer
+    SocketPointer delayedSocket_;
 };
 
 } // namespace chervilspring
--- a/packages/server/tests/unit-stage_calls.cpp
+++ b/packages/server/tests/unit-stage_calls.cpp
@@ -28,8 +28,9 @@
 {
     StageCallEnded ended;
     ended.call_ = call.call_;
+    ended.detail_ = result.body_;
     if (result.end_ == HttpCallEnd::Answered)
-        ended.end_ = StageCallEnd::Done;
+        ended.end_ = result.status_ == 200 ? StageCallEnd::Done : StageCallEnd::Refused;
     if (result.end_ == HttpCallEnd::Unreachable)
         ended.end_ = StageCallEnd::Unreachable;
     return ended;
@@ -45,6 +46,45 @@
     throw std::runtime_error("no result");
 }
 
+std::string answerText(const std::string &status, const std::string &body)
+{
+    return "HTTP/1.1 " + status + "\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n"
+        + body;
+}
+
+/// Makes calls to one upstream, one after the other.
+struct Fixture
+{
+    explicit Fixture(ScriptedUpstream::Script script) : upstream_(context_, std::move(script))
+    {
+        protocol_.encodeStageCall_ = encodeTestCall;
+        protocol_.decodeStageCall_ = decodeTestCall;
+    }
+
+    StageCallEnded call(const std::string &address = "127.0.0.1")
+    {
+        StartStageCall call;
+        call.call_ = 7;
+        call.upstream_.agentAddress_ = address;
+        call.upstream_.agentPort_ = upstream_.port();
+        call.limit_ = seconds(2);
+        std::optional<StageCallEnded> ended;
+        asio::co_spawn(context_, performStageCall(client_, protocol_, std::move(call)),
+                       [&](const std::exception_ptr &exception, const StageCallEnded &result) {
+                           BOOST_TEST(!exception);
+                           ended = result;
+                       });
+        while (!ended)
+            context_.run_one();
+        return *ended;
+    }
+
+    asio::io_context context_;
+    ScriptedUpstream upstream_;
+    HttpClient client_{context_};
+    DirectProtocol protocol_{};
+};
+
 struct StageCallRow
 {
     const char *description_;
@@ -72,29 +112,28 @@
 // A call without an end would leave its upstream busy, and its requests waiting.
 BOOST_DATA_TEST_CASE(stage_call_that_throws_ends_with_a_result, data::make(stageCallTable), row)
 {
-    asio::io_context context;
-    ScriptedUpstream upstream(context, [](int, const ScriptedUpstream::Request &) {
-        return std::string("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+    Fixture fixture(
+        [](int, const ScriptedUpstream::Request &) { return answerText("200 OK", ""); });
+    fixture.protocol_.encodeStageCall_ = row.encode_;
+    fixture.protocol_.decodeStageCall_ = row.decode_;
+    const StageCallEnded ended = fixture.call(row.address_);
+    BOOST_TEST((ended.end_ == row.expected_));
+    BOOST_TEST(ended.call_ == 7u);
+}
+
+// The refusal of an earlier call arrives once more, ahead of the true answer to the second call.
+BOOST_AUTO_TEST_CASE(answer_to_a_call_is_not_read_as_that_of_the_next_one_after_a_refusal)
+{
+    Fixture fixture([](int number, const ScriptedUpstream::Request &) {
+        const std::string answer = answerText("200 OK", "answer " + std::to_string(number));
+        return number == 2 ? answerText("503 Service Unavailable", "") : answer;
     });
-    HttpClient client(context);
-    DirectProtocol protocol{};
-    protocol.encodeStageCall_ = row.encode_;
-    protocol.decodeStageCall_ = row.decode_;
-    StartStageCall call;
-    call.call_ = 7;
-    call.upstream_.agentAddress_ = row.address_;
-    call.upstream_.agentPort_ = upstream.port();
-    call.limit_ = seconds(2);
-    std::optional<StageCallEnded> ended;
-    asio::co_spawn(context, performStageCall(client, protocol, std::move(call)),
-                   [&](const std::exception_ptr &exception, const StageCallEnded &result) {
-                       BOOST_TEST(!exception);
-                       ended = result;
-                   });
-    while (!ended)
-        context.run_one();
-    BOOST_TEST((ended->end_ == row.expected_));
-    BOOST_TEST(ended->call_ == 7u);
+    BOOST_TEST(fixture.call().detail_ == "answer 1");
+    BOOST_TEST((fixture.call().end_ == StageCallEnd::Refused));
+    // The true answer to the second call arrives after the third one was written.
+    fixture.upstream_.writeBeforeNextAnswer(answerText("200 OK", "answer 2"));
+    BOOST_TEST(fixture.call().detail_ == "answer 3");
+    BOOST_TEST(fixture.upstream_.connections() == 2);
 }
 
 } // namespace
