--- a/packages/server/tests/unit-http_client.cpp
+++ b/packages/server/tests/unit-http_client.cpp
@@ -1,6 +1,7 @@
 // Tests detail/net/http_client.hpp: reuse of idle connections, and idle connections on which the
-// server no longer answers.
+// server no longer answers or sends bytes that belong to no call.
 #include "chervilspring/detail/net/http_client.hpp"
+#include "scripted_upstream.hpp"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -8,6 +9,8 @@
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/test/unit_test.hpp>
 
+#include <optional>
+
 namespace {
 
 using namespace chervilspring;
@@ -118,4 +121,51 @@
     BOOST_TEST((fixture.callConcurrently(1)[0].end_ == HttpCallEnd::Answered));
 }
 
+HttpCallResult callUpstream(asio::io_context &context, HttpClient &client, std::uint16_t port,
+                            const std::string &address = "127.0.0.1")
+{
+    HttpCall call;
+    call.address_ = address;
+    call.port_ = port;
+    call.target_ = "/";
+    call.limit_ = seconds(2);
+    call.reuse_ = true;
+    std::optional<HttpCallResult> result;
+    asio::co_spawn(context, client.perform(std::move(call)),
+                   [&](const std::exception_ptr &exception, const HttpCallResult &callResult) {
+                       BOOST_TEST(!exception);
+                       result = callResult;
+                   });
+    while (!result)
+        context.run_one();
+    context.run_for(milliseconds(20));
+    return *result;
+}
+
+// Answers to stage calls carry no id: a repeated one would give a request the results of another.
+BOOST_AUTO_TEST_CASE(bytes_on_an_idle_connection_are_not_read_as_the_answer_to_the_next_call)
+{
+    const auto answer = [](int number) {
+        return "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\n" + std::to_string(number);
+    };
+    asio::io_context context;
+    ScriptedUpstream upstream(
+        context, [&](int number, const ScriptedUpstream::Request &) { return answer(number); });
+    HttpClient client(context);
+    BOOST_TEST(callUpstream(context, client, upstream.port()).body_ == "1");
+    upstream.writeUnasked(answer(1));
+    context.run_for(milliseconds(20));
+    BOOST_TEST(callUpstream(context, client, upstream.port()).body_ == "2");
+    BOOST_TEST(upstream.connections() == 2);
+}
+
+BOOST_AUTO_TEST_CASE(call_to_an_address_that_is_no_ip_address_is_reported_as_unreachable)
+{
+    asio::io_context context;
+    HttpClient client(context);
+    const HttpCallResult result = callUpstream(context, client, 80, "no address");
+    BOOST_TEST((result.end_ == HttpCallEnd::Unreachable));
+    BOOST_TEST(!result.detail_.empty());
+}
+
 } // namespace
