Refuse a request with too many pieces before a scheduler allocates them

A request with "X-Pieces:" made each control process allocate a Piece for each. The failed allocation closed the connection from the entry, by which all requests of the entry that waited there were dropped and planned anew, and the entry asked the next control process and the next, until the request's time was over. A number that can be allocated uses up memory instead, 400 MB of a control process for 3,000,000 pieces.

An entry now answers 400 at once if the stages of the route would have more than 4,096 pieces together; the handles of the results of that many don't fit into the header of any upstream. The scheduler refuses such a plan request as well, because entries of an older version still send it.

Before, plan_request_with_too_many_pieces_is_refused_without_allocating_them: fatal error: critical check model.refusals_.contains(id) has failed count = 4097 fatal error: std::bad_alloc: std::bad_alloc (count =) and request_with_too_many_pieces_never_reaches_a_scheduler: check effectsOf<SendToPeer>(effects).size() == (row.accepted_ ? 1u : 0u) has failed [1 != 0] row = 4096 1, row = 0 , row = 1 Now both pass.

--- a/packages/core/include/chervilspring/messages.hpp
+++ b/packages/core/include/chervilspring/messages.hpp
@@ -9,6 +9,7 @@
 
 #include <boost/describe.hpp>
 
+#include <algorithm>
 #include <optional>
 #include <variant>
 
@@ -549,6 +550,22 @@
 };
 BOOST_DESCRIBE_STRUCT(PieceResult, (), (stage_, piece_, upstream_, handle_, age_))
 
+/// @brief Largest number of pieces of a request, over all stages of its route.
+///
+/// Far above what an upstream takes: the handles of a request's results are sent in one header.
+inline constexpr std::uint32_t maxPiecesPerRequest = 4096;
+
+/// @brief Returns whether a request has more than maxPiecesPerRequest pieces.
+/// @param pieceCounts number of pieces by stage, as given by the caller
+/// @param stages number of stages of the route; further counts are ignored
+inline bool hasTooManyPieces(const std::vector<std::uint32_t> &pieceCounts, std::size_t stages)
+{
+    std::uint64_t total = 0;
+    for (std::size_t i = 0; i < std::min(stages, pieceCounts.size()); ++i)
+        total += pieceCounts[i];
+    return total > maxPiecesPerRequest;
+}
+
 /// @brief Asks a scheduler to run the stages of a request and to choose its model engine.
 struct PlanRequest
 {
--- a/packages/decision/include/chervilspring/detail/direct/direct_steps.hpp
+++ b/packages/decision/include/chervilspring/detail/direct/direct_steps.hpp
@@ -8,6 +8,7 @@
 
 // Statuses of responses that the entry generates. 503 guarantees that no upstream executed the
 // request; 502 and 504 don't.
+inline constexpr unsigned statusBadRequest = 400;
 inline constexpr unsigned statusUnauthorized = 401;
 inline constexpr unsigned statusNotFound = 404;
 inline constexpr unsigned statusBadGateway = 502;
--- a/packages/decision/src/direct/direct.cpp
+++ b/packages/decision/src/direct/direct.cpp
@@ -46,6 +46,11 @@
                        effects);
         return;
     }
+    if (hasTooManyPieces(call.pieceCounts_, route->stages_.size())) {
+        refuseUnrouted(call, statusBadRequest, nanoseconds(0), EndReason{"too_many_pieces"}, state,
+                       effects);
+        return;
+    }
     const std::string accountName = account ? account->name_ : std::string();
     const std::uint64_t digest =
         contentDigest(accountName + "\n" + call.path_ + "\n" + std::to_string(call.bodyDigest_));
--- a/packages/decision/src/scheduler/scheduler.cpp
+++ b/packages/decision/src/scheduler/scheduler.cpp
@@ -39,6 +39,12 @@
     return "?";
 }
 
+bool exceedsPieceLimit(const SchedulerState &state, const PlanRequest &request)
+{
+    const RouteSpec *route = findByName(state.view_->fleet_.routes_, request.route_);
+    return route && hasTooManyPieces(request.pieceCounts_, route->stages_.size());
+}
+
 Job makeJob(const SchedulerState &state, Instant now, const PlanRequest &request)
 {
     Job job;
@@ -47,7 +53,7 @@
     job.objectiveAt_ = now + request.untilObjective_;
     job.deadlineAt_ = now + request.untilDeadline_;
     const RouteSpec *route = findByName(state.view_->fleet_.routes_, request.route_);
-    if (!route)
+    if (!route || exceedsPieceLimit(state, request))
         return job;
     for (std::size_t i = 0; i < route->stages_.size(); ++i) {
         StageWork stage;
@@ -102,6 +108,10 @@
         adoptResults(state, now, state.jobs_.at(id), effects);
     }
     Job &job = state.jobs_.at(id);
+    if (exceedsPieceLimit(state, request)) {
+        refuse(state, now, id, unavailableRetryAfter, "too_many_pieces", "", effects);
+        return;
+    }
     if (!allPoolsHaveUpstreams(state, job)) {
         refuse(state, now, id, unavailableRetryAfter, "no_upstream", "", effects);
         return;
--- a/packages/decision/tests/unit-direct.cpp
+++ b/packages/decision/tests/unit-direct.cpp
@@ -239,6 +239,58 @@
     BOOST_TEST(refusals[0].status_ == row.status_);
 }
 
+struct PieceCountRow
+{
+    std::vector<std::uint32_t> counts_;
+    bool accepted_;
+};
+
+std::ostream &operator<<(std::ostream &stream, const PieceCountRow &row)
+{
+    for (const std::uint32_t count : row.counts_)
+        stream << count << " ";
+    return stream;
+}
+
+const PieceCountRow pieceCountTable[] = {
+    {{}, true},
+    {{4, 2}, true},
+    {{maxPiecesPerRequest, 0}, true},
+    {{maxPiecesPerRequest, 1}, false},
+    {{0, 4294967295}, false},
+    {{4294967295, 1}, false}, // the sum doesn't fit into 32 bits
+    {{4, 2, 4294967295}, true}, // the route has two stages
+};
+
+// A scheduler ended when it allocated the pieces, and so did each one that was asked next.
+BOOST_DATA_TEST_CASE(request_with_too_many_pieces_never_reaches_a_scheduler,
+                     data::make(pieceCountTable), row)
+{
+    DirectFixture fixture;
+    auto view = std::make_shared<View>(*testView());
+    view->version_ = 8;
+    for (RouteSpec &route : view->fleet_.routes_)
+        route.stages_ = {RouteStage{"plain", {}, 1}, RouteStage{"plain", {0}, 1}};
+    ViewChanged change;
+    change.view_ = view;
+    change.leader_ = "c1";
+    fixture.handle(change);
+    DirectCall call;
+    call.token_ = 1;
+    call.id_ = "id";
+    call.host_ = "host";
+    call.path_ = "/stream/x";
+    call.credential_ = "key";
+    call.callerTimeout_ = seconds(1);
+    call.pieceCounts_ = row.counts_;
+    const DirectEffects effects = fixture.handle(call);
+    BOOST_TEST(effectsOf<SendToPeer>(effects).size() == (row.accepted_ ? 1u : 0u));
+    const auto refusals = effectsOf<RefuseCall>(effects);
+    BOOST_REQUIRE(refusals.size() == (row.accepted_ ? 0u : 1u));
+    if (!row.accepted_)
+        BOOST_TEST(refusals[0].status_ == 400u);
+}
+
 BOOST_AUTO_TEST_CASE(entry_without_a_configuration_refuses_with_a_retry_delay)
 {
     DirectState state = makeDirect(DirectSettings{});
--- a/packages/decision/tests/unit-scheduler.cpp
+++ b/packages/decision/tests/unit-scheduler.cpp
@@ -541,4 +541,17 @@
     }
 }
 
+// An entry of an older version forwards any number of pieces.
+BOOST_DATA_TEST_CASE(plan_request_with_too_many_pieces_is_refused_without_allocating_them,
+                     data::make({maxPiecesPerRequest + 1, 4294967295u}), count)
+{
+    StageModel model({});
+    const std::string other = model.submit(2, 1);
+    const std::string id = model.submit(count, 0);
+    BOOST_REQUIRE(model.refusals_.contains(id));
+    BOOST_TEST(model.refusals_[id].reason_ == "too_many_pieces");
+    model.advance(seconds(2));
+    BOOST_TEST(model.grants_.contains(other));
+}
+
 } // namespace
