Treat a stage call with another number of results as failed in every respect

An upstream that answered a call with more or fewer items than asked, one of them "room", was taken as one whose storage is full. In the seconds after a change of scheduler, onStorageFull() then summed up the sizes of the call's results by the index of the answer: beyond the end of the vector if there were more items. With fewer items, storage counted as used by unknown results, and the pieces waited until that had expired. Items of a call that isn't done are no longer evaluated.

--- a/packages/decision/src/scheduler/scheduler.cpp
+++ b/packages/decision/src/scheduler/scheduler.cpp
@@ -276,10 +276,10 @@
     for (std::size_t i = 0; i < call.pieces_.size(); ++i)
         onItemEnded(state, now, call, i, done ? event.items_[i] : StageItemResult{{}, callFailure},
                     effects);
-    const bool storageFull =
-        std::any_of(event.items_.begin(), event.items_.end(), [](const StageItemResult &item) {
-            return item.failure_ == ItemFailure::StorageFull;
-        });
+    const bool storageFull = done
+        && std::any_of(event.items_.begin(), event.items_.end(), [](const StageItemResult &item) {
+                                 return item.failure_ == ItemFailure::StorageFull;
+                             });
     if (storageFull)
         onStorageFull(state, now, call, event.items_);
     else if (done)
--- a/packages/decision/tests/unit-scheduler.cpp
+++ b/packages/decision/tests/unit-scheduler.cpp
@@ -554,4 +554,38 @@
     BOOST_TEST(model.grants_.contains(other));
 }
 
+struct ItemCountRow
+{
+    const char *description_;
+    std::size_t count_;
+};
+
+std::ostream &operator<<(std::ostream &stream, const ItemCountRow &row)
+{
+    return stream << row.description_;
+}
+
+const ItemCountRow itemCountTable[] = {
+    {"no items", 0}, {"fewer items", 1}, {"one more item", 5}, {"many more items", 5000}};
+
+BOOST_DATA_TEST_CASE(answer_with_another_number_of_items_is_a_failed_call,
+                     data::make(itemCountTable) * data::xrange(0, 2), row, takeover)
+{
+    StageModelSettings settings;
+    settings.schedulers_ = 2;
+    settings.stageUpstreams_ = 1;
+    StageModel model(settings);
+    const std::string id = model.submit(4, 1);
+    if (takeover == 1)
+        model.moveToScheduler(id, 1, 0);
+    model.advance(milliseconds(30));
+    const StartStageCall call = model.calls_.back();
+    std::vector<StageItemResult> items(row.count_, StageItemResult{"h", ItemFailure::None});
+    if (!items.empty())
+        items[0] = StageItemResult{{}, ItemFailure::StorageFull};
+    model.endCall(takeover == 1 ? 0 : 1, call, StageCallEnd::Done, items);
+    model.advance(seconds(3));
+    BOOST_TEST(model.grants_.contains(id)); // the pieces are processed by another call
+}
+
 } // namespace
