Run stages whose upstreams have a stated batch or call time of 0

A configuration with "batch": 0 is valid, but no call was ever started, so that each request of the route waited for its deadline. With "call_ms" and "item_ms" of 0 the slowdown of an upstream became infinite and then NaN, by which the idle upstreams were sorted and times predicted.

--- a/packages/decision/include/chervilspring/detail/scheduler/piece_plan.hpp
+++ b/packages/decision/include/chervilspring/detail/scheduler/piece_plan.hpp
@@ -110,7 +110,10 @@
     Failed, ///< connection broken, timeout or malformed response
 };
 
-/// @brief Returns the expected duration of a call.
+/// @brief Returns the largest number of pieces in a call, at least 1.
+std::uint32_t batchSize(const PieceCapacity &capacity);
+
+/// @brief Returns the expected duration of a call, at least a millisecond.
 /// @param capacity capacity of the pool's upstreams
 /// @param pieces number of pieces in the call
 nanoseconds expectedCallTime(const PieceCapacity &capacity, std::size_t pieces);
--- a/packages/decision/src/scheduler/piece_plan.cpp
+++ b/packages/decision/src/scheduler/piece_plan.cpp
@@ -10,6 +10,8 @@
 // Penalty per MB: links between data centres are shared and charged by volume.
 constexpr nanoseconds transferPenaltyPerMb = milliseconds(400);
 constexpr double bytesPerMb = 1e6;
+// Rates and slowdowns are quotients of call times, and a configuration may state a time of 0.
+constexpr nanoseconds shortestCallTime = milliseconds(1);
 
 // Returns the bytes of a stage's inputs by data centre of their producers. Each piece of the stage
 // reads all inputs.
@@ -34,7 +36,7 @@
     if (!pool || !pool->pieces_ || stage.pieces_.empty())
         return nanoseconds(0);
     const std::size_t pieces =
-        std::min<std::size_t>(stage.pieces_.size(), std::max(1u, pool->pieces_->batch_));
+        std::min<std::size_t>(stage.pieces_.size(), batchSize(*pool->pieces_));
     return expectedCallTime(*pool->pieces_, pieces);
 }
 
@@ -42,7 +44,7 @@
 nanoseconds fullCallTime(const StageWork &stage, const Fleet &fleet)
 {
     const Pool *pool = findByName(fleet.pools_, stage.pool_);
-    return pool && pool->pieces_ ? expectedCallTime(*pool->pieces_, pool->pieces_->batch_)
+    return pool && pool->pieces_ ? expectedCallTime(*pool->pieces_, batchSize(*pool->pieces_))
                                  : nanoseconds(0);
 }
 
@@ -55,9 +57,16 @@
 
 } // namespace
 
+std::uint32_t batchSize(const PieceCapacity &capacity)
+{
+    return std::max(1u, capacity.batch_);
+}
+
 nanoseconds expectedCallTime(const PieceCapacity &capacity, std::size_t pieces)
 {
-    return capacity.callTime_ + capacity.pieceTime_ * static_cast<std::int64_t>(pieces);
+    const nanoseconds stated =
+        capacity.callTime_ + capacity.pieceTime_ * static_cast<std::int64_t>(pieces);
+    return std::max(stated, shortestCallTime);
 }
 
 bool stageDone(const StageWork &stage)
--- a/packages/decision/src/scheduler/scheduler_admission.cpp
+++ b/packages/decision/src/scheduler/scheduler_admission.cpp
@@ -20,13 +20,13 @@
                     const std::vector<std::string> &upstreams)
 {
     const double callSeconds =
-        std::chrono::duration<double>(expectedCallTime(capacity, capacity.batch_)).count();
+        std::chrono::duration<double>(expectedCallTime(capacity, batchSize(capacity))).count();
     double rate = 0;
     for (const std::string &name : upstreams) {
         const auto known = state.stageUpstreams_.find(name);
         const double slowdown =
             known == state.stageUpstreams_.end() ? 1.0 : known->second.slowdown_;
-        rate += capacity.batch_ / (callSeconds * slowdown);
+        rate += batchSize(capacity) / (callSeconds * slowdown);
     }
     return rate;
 }
--- a/packages/decision/src/scheduler/scheduler_calls.cpp
+++ b/packages/decision/src/scheduler/scheduler_calls.cpp
@@ -70,7 +70,7 @@
 const char *limitingResource(const PieceCapacity &capacity, std::size_t pieces,
                              const std::vector<ReadyStage> &waiting, std::uint64_t remainingBytes)
 {
-    if (waiting.empty() || pieces >= capacity.batch_)
+    if (waiting.empty() || pieces >= batchSize(capacity))
         return "nothing";
     const bool fits = std::any_of(waiting.begin(), waiting.end(), [&](const ReadyStage &stage) {
         return stage.resultBytes_ <= remainingBytes;
@@ -148,7 +148,7 @@
         std::sort(ready.begin(), ready.end(), isScheduledBefore);
         const std::uint64_t storage =
             availableBytes(state.stageUpstreams_[upstream->name_], capacity, now);
-        const auto pieces = takeBatch(ready, capacity.batch_, storage, capacity.resultBytes_);
+        const auto pieces = takeBatch(ready, batchSize(capacity), storage, capacity.resultBytes_);
         if (!pieces.empty())
             startCall(state, now, pool, capacity, *upstream, pieces, ready, effects);
     }
--- a/packages/decision/tests/unit-scheduler.cpp
+++ b/packages/decision/tests/unit-scheduler.cpp
@@ -6,6 +6,7 @@
 #include <boost/test/data/test_case.hpp>
 
 #include <array>
+#include <cmath>
 #include <numeric>
 
 namespace {
@@ -588,4 +589,49 @@
     BOOST_TEST(model.grants_.contains(id)); // the pieces are processed by another call
 }
 
+struct CapacityRow
+{
+    std::uint32_t batch_;
+    microseconds callTime_;
+    microseconds pieceTime_;
+};
+
+std::ostream &operator<<(std::ostream &stream, const CapacityRow &row)
+{
+    return stream << row.batch_ << " pieces, call " << row.callTime_.count() << " us, piece "
+                  << row.pieceTime_.count() << " us";
+}
+
+const CapacityRow oddCapacityTable[] = {
+    {0, milliseconds(200), milliseconds(20)},
+    {8, microseconds(0), microseconds(0)},
+    {0, microseconds(0), microseconds(0)},
+};
+
+// A configuration may state any capacity; its pieces are still processed.
+BOOST_DATA_TEST_CASE(stages_run_at_upstreams_with_a_stated_capacity_of_zero,
+                     data::make(oddCapacityTable), row)
+{
+    StageModel model({});
+    auto view = std::make_shared<View>(*model.state().view_);
+    view->version_ = 2;
+    for (Pool &pool : view->fleet_.pools_) {
+        if (!pool.pieces_)
+            continue;
+        pool.pieces_->batch_ = row.batch_;
+        pool.pieces_->callTime_ = row.callTime_;
+        pool.pieces_->pieceTime_ = row.pieceTime_;
+    }
+    model.handle(0, SchedulerView{view});
+    std::vector<std::string> ids;
+    for (int round = 0; round < 5; ++round) {
+        ids.push_back(model.submit(2, 1));
+        model.advance(milliseconds(1500));
+    }
+    for (const std::string &id : ids)
+        BOOST_TEST(model.grants_.contains(id));
+    for (const auto &[name, upstream] : model.state().stageUpstreams_)
+        BOOST_TEST(std::isfinite(upstream.slowdown_), name);
+}
+
 } // namespace
