Send nothing to an upstream whose stored address is no IP address

A run at such an upstream ended in an exception. An upstream without agent takes no new work unless its address is an IP address, which holds for entries and schedulers alike, and each node names it in its log when it becomes known: decision=upstream_unusable upstream=odd address=host

Before, upstream_without_an_ip_address_gets_no_requests failed in 12 checks (3 for each of "host", "", "256.1.1.1" and "10.0.0.1:80"), and upstream_without_an_ip_address_is_named_in_the_log_once: check lines == 1 has failed [0 != 1] Now both pass. The upstreams of the other tests have addresses now.

--- a/packages/core/include/chervilspring/upstream.hpp
+++ b/packages/core/include/chervilspring/upstream.hpp
@@ -72,9 +72,13 @@
 /// @return upstreams by pool name; a pool without members has an empty list
 std::map<std::string, std::vector<const Upstream *>> poolMembers(const View &view);
 
+/// @brief Tells whether connections to an upstream are possible: the address of a direct upstream
+/// is an IP address, not a name.
+bool hasUsableAddress(const Upstream &upstream);
+
 /// @brief Tells whether an upstream can take new work.
 /// @param upstream the upstream
-/// @return true if it is in phase Serving and not drained
+/// @return true if it is in phase Serving, not drained, and its address is usable
 bool takesNewWork(const Upstream &upstream);
 
 } // namespace chervilspring
--- a/packages/core/src/upstream.cpp
+++ b/packages/core/src/upstream.cpp
@@ -1,5 +1,7 @@
 #include "chervilspring/upstream.hpp"
 
+#include <arpa/inet.h>
+
 #include <algorithm>
 
 namespace chervilspring {
@@ -66,9 +68,19 @@
     return pools;
 }
 
+bool hasUsableAddress(const Upstream &upstream)
+{
+    if (!upstream.direct_)
+        return true;
+    in6_addr address{};
+    const char *text = upstream.agentAddress_.c_str();
+    return inet_pton(AF_INET, text, &address) == 1 || inet_pton(AF_INET6, text, &address) == 1;
+}
+
 bool takesNewWork(const Upstream &upstream)
 {
-    return upstream.phase_ == UpstreamPhase::Serving && !upstream.drained_;
+    return upstream.phase_ == UpstreamPhase::Serving && !upstream.drained_
+        && hasUsableAddress(upstream);
 }
 
 } // namespace chervilspring
--- a/packages/decision/src/node/node.cpp
+++ b/packages/decision/src/node/node.cpp
@@ -87,6 +87,20 @@
     }
 }
 
+// Names the upstreams that became known with an address that nothing can be sent to.
+void reportUnusable(const View &older, const View &newer, NodeEffects &effects)
+{
+    for (const Upstream &upstream : newer.upstreams_) {
+        if (hasUsableAddress(upstream))
+            continue;
+        const Upstream *known = findByName(older.upstreams_, upstream.name_);
+        if (known && known->agentAddress_ == upstream.agentAddress_)
+            continue;
+        effects.push_back(DecisionLine{"decision=upstream_unusable upstream=" + upstream.name_
+                                       + " address=" + upstream.agentAddress_});
+    }
+}
+
 void onReply(NodeState &state, Instant now, const std::string &peer, const HeartbeatReply &reply,
              NodeEffects &effects)
 {
@@ -109,6 +123,7 @@
                                            + " version=" + std::to_string(newer->version_)
                                            + " was=" + std::to_string(state.view_->version_)
                                            + " from=" + peer});
+            reportUnusable(*state.view_, *newer, effects);
             state.view_ = newer;
         }
     }
--- a/packages/decision/tests/stage_model.hpp
+++ b/packages/decision/tests/stage_model.hpp
@@ -265,6 +265,8 @@
         item.dataCenter_ = "dc" + std::to_string(number % 2);
         item.phase_ = UpstreamPhase::Serving;
         item.direct_ = true;
+        item.agentAddress_ = "10.0.0." + std::to_string(number);
+        item.agentPort_ = 80;
         item.labels_ = {Label{"service", pool}};
         return item;
     }
--- a/packages/decision/tests/unit-direct.cpp
+++ b/packages/decision/tests/unit-direct.cpp
@@ -52,6 +52,8 @@
             upstream.name_ = std::string(pool) + "-" + number;
             upstream.phase_ = UpstreamPhase::Serving;
             upstream.direct_ = true;
+            upstream.agentAddress_ = std::string("10.0.0.") + number;
+            upstream.agentPort_ = 80;
             upstream.labels_ = {Label{"service", pool}};
             view->upstreams_.push_back(upstream);
         }
@@ -547,6 +549,23 @@
     BOOST_TEST(effectsOf<StartRun>(effects).empty());
 }
 
+// Earlier versions accepted any text as the address of an upstream, and their logs are still
+// replayed.
+BOOST_AUTO_TEST_CASE(upstream_without_an_ip_address_gets_no_requests)
+{
+    for (const char *address : {"host", "", "256.1.1.1", "10.0.0.1:80"}) {
+        auto view = std::make_shared<View>(*testView());
+        for (Upstream &upstream : view->upstreams_) {
+            if (upstream.name_ != "plain-3")
+                upstream.agentAddress_ = address;
+        }
+        const auto table = makeRouteTable(view);
+        BOOST_TEST(table->availableUpstreams_.size() == 1u, address);
+        BOOST_TEST(table->upstreamsByPool_.at("plain").size() == 1u, address);
+        BOOST_TEST(table->upstreamsByPool_.at("engine").empty(), address);
+    }
+}
+
 BOOST_AUTO_TEST_CASE(route_with_the_longest_prefix_is_chosen)
 {
     auto view = std::make_shared<View>(*testView());
--- a/packages/decision/tests/unit-node.cpp
+++ b/packages/decision/tests/unit-node.cpp
@@ -212,4 +212,32 @@
     BOOST_TEST(fixture.state_.proposals_.empty());
 }
 
+BOOST_AUTO_TEST_CASE(upstream_without_an_ip_address_is_named_in_the_log_once)
+{
+    NodeFixture fixture;
+    fixture.handle(Wake{});
+    int lines = 0;
+    for (const std::uint64_t version : {5, 6, 7}) {
+        View view;
+        view.version_ = version;
+        Upstream upstream;
+        upstream.direct_ = true;
+        upstream.name_ = "good";
+        upstream.agentAddress_ = "10.0.0.1";
+        view.upstreams_.push_back(upstream);
+        upstream.name_ = "odd";
+        upstream.agentAddress_ = "host";
+        view.upstreams_.push_back(upstream);
+        HeartbeatReply reply = NodeFixture::reply(version, {});
+        reply.update_ = makeFullUpdate(view);
+        for (const NodeEffect &effect : fixture.handle(PeerMessage{"c2", reply})) {
+            const auto *line = std::get_if<DecisionLine>(&effect);
+            if (line && line->text_.starts_with("decision=upstream_unusable upstream=odd "))
+                ++lines;
+        }
+    }
+    BOOST_TEST(fixture.state_.view_->version_ == 7u);
+    BOOST_TEST(lines == 1);
+}
+
 } // namespace
