Keep an upstream that an entry with an unknown service would replace

An address belongs to the upstream that started there last, and an id to the entry with the highest sequence. An entry of another writer whose service is in no configuration names no upstream to use, but with the address or the id of a good one it took its place: the good one was removed from the list and, if the entry stated a later start, its own announcements were outdated from then on, for as long as the entry was repeated and a lease longer. Requests of its service got 503 or went to the remaining upstreams.

The leader now acknowledges such an announcement without appending it, and it doesn't renew the lease of the other one. An entry with an unknown service and an id and address of its own is stored as before, because the next configuration may name its service. The rule holds before an entry is appended; what replicas do with a log entry is unchanged.

--- a/packages/core/include/chervilspring/upstream.hpp
+++ b/packages/core/include/chervilspring/upstream.hpp
@@ -72,6 +72,9 @@
 /// @return upstreams by pool name; a pool without members has an empty list
 std::map<std::string, std::vector<const Upstream *>> poolMembers(const View &view);
 
+/// @brief Tells whether the labels of an upstream match the selector of a pool.
+bool belongsToPool(const Upstream &upstream, const Fleet &fleet);
+
 /// @brief Tells whether connections to an upstream are possible: the address of a direct upstream
 /// is an IP address, not a name.
 bool hasUsableAddress(const Upstream &upstream);
--- a/packages/core/src/upstream.cpp
+++ b/packages/core/src/upstream.cpp
@@ -68,6 +68,13 @@
     return pools;
 }
 
+bool belongsToPool(const Upstream &upstream, const Fleet &fleet)
+{
+    const Labels labels = effectiveLabels(upstream, Fleet{});
+    return std::any_of(fleet.pools_.begin(), fleet.pools_.end(),
+                       [&](const Pool &pool) { return matchesText(pool.selector_, labels); });
+}
+
 bool hasUsableAddress(const Upstream &upstream)
 {
     if (!upstream.direct_)
--- a/packages/decision/include/chervilspring/detail/control/fleet_state.hpp
+++ b/packages/decision/include/chervilspring/detail/control/fleet_state.hpp
@@ -42,6 +42,9 @@
 std::optional<Outcome> answerDocument(const FleetState &state, std::uint64_t version,
                                       const std::string &document);
 
+/// @brief Tells whether two upstreams have the same address and port.
+bool sameAddress(const Upstream &left, const Upstream &right);
+
 /// @brief Tells whether two announcements differ in nothing but their sequence.
 bool sameAnnouncement(const Upstream &left, const Upstream &right);
 
--- a/packages/decision/src/control/control.cpp
+++ b/packages/decision/src/control/control.cpp
@@ -192,6 +192,20 @@
         appendCommand(state, now, wall, AnnounceUpstream{upstream}, effects);
 }
 
+// Whether an announcement names no upstream to use, as no pool of the configuration has its
+// service, but would take the name or address of one that is in use. It is not appended to the log:
+// the other one's announcements would be outdated from then on.
+bool displacesWithoutPool(const ControlState &state, const Upstream &announced)
+{
+    const View &view = state.fleet_.view_;
+    if (view.fleetVersion_ == 0 || belongsToPool(announced, view.fleet_))
+        return false;
+    return std::any_of(view.upstreams_.begin(), view.upstreams_.end(), [&](const Upstream &other) {
+        const bool displaced = other.name_ == announced.name_ || sameAddress(other, announced);
+        return displaced && other.direct_ && belongsToPool(other, view.fleet_);
+    });
+}
+
 // Renews the lease of a direct upstream. An announcement that changes nothing is answered at once;
 // any other one is appended to the log and answered after the commit.
 void onLocalAnnouncement(ControlState &state, Instant now, WallTime wall,
@@ -203,6 +217,12 @@
         sendAnswer(state, waiter, Outcome{OutcomeKind::NotLeader, 0, {}, std::nullopt}, effects);
         return;
     }
+    if (displacesWithoutPool(state, upstream)) {
+        sendAnswer(state, waiter,
+                   Outcome{OutcomeKind::Accepted, 0, "the service is unknown", std::nullopt},
+                   effects);
+        return;
+    }
     NodeStatus &node = state.nodes_[upstream.name_];
     const bool isOlder = node.sequenceBoot_ > upstream.agentBoot_
         || (node.sequenceBoot_ == upstream.agentBoot_ && node.sequence_ > upstream.sequence_);
--- a/packages/decision/src/control/fleet_state.cpp
+++ b/packages/decision/src/control/fleet_state.cpp
@@ -203,11 +203,6 @@
     return outcome(OutcomeKind::Accepted, entry.index_);
 }
 
-bool sameAddress(const Upstream &left, const Upstream &right)
-{
-    return left.agentAddress_ == right.agentAddress_ && left.agentPort_ == right.agentPort_;
-}
-
 // Removes direct upstreams that were registered at the address of this one before: an address
 // belongs to the direct upstream that started there last.
 void removePredecessors(FleetState &state, std::uint64_t version, const Upstream &upstream)
@@ -350,6 +345,11 @@
                    "another document has version " + std::to_string(version));
 }
 
+bool sameAddress(const Upstream &left, const Upstream &right)
+{
+    return left.agentAddress_ == right.agentAddress_ && left.agentPort_ == right.agentPort_;
+}
+
 bool sameAnnouncement(const Upstream &left, const Upstream &right)
 {
     return left.agentBoot_ == right.agentBoot_ && left.phase_ == right.phase_
--- a/packages/decision/tests/unit-control.cpp
+++ b/packages/decision/tests/unit-control.cpp
@@ -1,9 +1,13 @@
 // Tests of detail/control/control.hpp: heartbeats, announcements and shares of fleet-wide limits.
 #include "control_group.hpp"
 
+#include <boost/test/data/monomorphic.hpp>
+#include <boost/test/data/test_case.hpp>
+
 namespace {
 
 using namespace chervilspring;
+namespace data = boost::unit_test::data;
 
 // A group of one control process, which is the leader.
 struct LeaderFixture
@@ -112,4 +116,75 @@
     }
 }
 
+struct OtherEntryRow
+{
+    const char *description_;
+    const char *name_;
+    const char *service_;
+    const char *address_;
+    std::uint64_t boot_;
+    std::uint64_t sequence_;
+    bool replaces_; ///< the upstream that was announced before is no longer listed
+};
+
+std::ostream &operator<<(std::ostream &stream, const OtherEntryRow &row)
+{
+    return stream << row.description_;
+}
+
+const OtherEntryRow otherEntryTable[] = {
+    {"address of a good one", "odd", "nowhere", "10.0.0.1", 7, 1, false},
+    {"address of a good one, later start", "odd", "nowhere", "10.0.0.1", 1ull << 52, 1, false},
+    {"name of a good one", "good", "nowhere", "10.0.0.2", 5, 1ull << 52, false},
+    {"name of a good one, later start", "good", "nowhere", "10.0.0.2", 1ull << 52, 1, false},
+    {"own name and address", "odd", "nowhere", "10.0.0.2", 7, 1, false},
+    {"restart with another name", "next", "a", "10.0.0.1", 7, 1, true},
+    {"restart at the address by another service", "next", "b", "10.0.0.1", 7, 1, true},
+};
+
+// An entry with an unknown service took the place of a good upstream, whose own announcements were
+// outdated from then on.
+BOOST_DATA_TEST_CASE(entry_with_an_unknown_service_replaces_no_upstream,
+                     data::make(otherEntryTable), row)
+{
+    LeaderFixture fixture;
+    Fleet fleet;
+    for (const char *service : {"a", "b"}) {
+        Pool pool;
+        pool.name_ = service;
+        pool.selector_ = std::string("service = ") + service;
+        fleet.pools_.push_back(pool);
+    }
+    fixture.group_.propose(ApplyDocument{1, "{}", fleet});
+    fixture.group_.run(milliseconds(100));
+    const auto announce = [&](const char *name, const char *service, const char *address,
+                              std::uint64_t boot, std::uint64_t sequence) {
+        Upstream upstream;
+        upstream.name_ = name;
+        upstream.agentAddress_ = address;
+        upstream.agentPort_ = 80;
+        upstream.agentBoot_ = boot;
+        upstream.sequence_ = sequence;
+        upstream.phase_ = UpstreamPhase::Serving;
+        upstream.direct_ = true;
+        upstream.labels_ = {Label{"service", service}};
+        fixture.group_.handle("c1", LocalAnnouncement{sequence, upstream});
+        fixture.group_.run(milliseconds(200));
+        const auto answer = fixture.group_.answers_.find(sequence);
+        BOOST_REQUIRE(answer != fixture.group_.answers_.end());
+        BOOST_TEST((answer->second.kind_ == OutcomeKind::Accepted));
+    };
+    // Two leases long, the good one announces itself and the other entry is written again.
+    for (std::uint64_t round = 0; round < 12; ++round) {
+        if (!row.replaces_ || round == 0)
+            announce("good", "a", "10.0.0.1", 5, 100 + round);
+        announce(row.name_, row.service_, row.address_, row.boot_, row.sequence_ + round);
+        fixture.group_.run(milliseconds(100));
+        const Upstream *good = findByName(fixture.upstreams(), "good");
+        BOOST_REQUIRE((good != nullptr) == !row.replaces_);
+        if (good)
+            BOOST_TEST(good->agentAddress_ == "10.0.0.1");
+    }
+}
+
 } // namespace
