Answer a request whose handler throws

An exception in the handler of an operator's or upstream's call, or of a readiness probe, closed the connection without an answer and left no line in the log, and the connection counted as busy from then on. It is logged and answered with 500 now, upon which callers move on to another process.

Before, request_is_answered_and_ended_if_its_handler_throws: check (results[0].end_ == HttpCallEnd::Answered) has failed check results[0].status_ == 500u has failed [0 != 500] check server.busyConnections() == 0u has failed [1 != 0] Now it passes. No input that makes a handler throw is known.

--- a/packages/server/src/http_server.cpp
+++ b/packages/server/src/http_server.cpp
@@ -3,6 +3,7 @@
 #include "chervilspring/detail/net/peer_disconnect.hpp"
 #include "chervilspring/detail/net/read_limits.hpp"
 #include "chervilspring/error.hpp"
+#include "chervilspring/log.hpp"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -163,7 +164,17 @@
     const bool keepAlive = parser.get().keep_alive() && !stopping_;
     auto exchange = std::make_shared<HttpExchange>(context_, parser.release());
     ++busyConnections_;
-    handler_(exchange);
+    try {
+        handler_(exchange);
+    } catch (const std::exception &error) {
+        writeLog(LogLevel::Error,
+                 "request failed path=" + exchange->path() + " reason=" + error.what());
+        HttpAnswer answer;
+        answer.status_ = 500;
+        answer.body_ = errorBody(static_cast<int>(ErrorId::StageFailed), "unknown",
+                                 "answer request", "", error.what());
+        exchange->answer(std::move(answer));
+    }
     bool callerConnected = false;
     try {
         callerConnected = co_await waitForAnswer(stream, exchange);
