Accept peers again after an accept has failed

The loop that accepts connections of peers ended at the first error, such as a lack of file descriptors. From then on no peer could connect to the process, but its established connections went on, so that it looked alive: nodes that lost their connection stopped following it until it was restarted. The loop for operators and upstreams repeated a failing accept without a pause. Both log the error now and try again after a pause, as the one for callers does.

Before, peers_connect_again_after_file_descriptors_ran_out: check runUntil(context, [&] { return !listener.received_.empty(); }) has failed Now it passes.

--- a/packages/server/src/http_server.cpp
+++ b/packages/server/src/http_server.cpp
@@ -23,6 +23,7 @@
 namespace {
 
 constexpr auto writeTimeout = seconds(10); // for a caller that does not read
+constexpr auto acceptRetryDelay = milliseconds(100);
 constexpr std::size_t maxHeaderBytes = 16384;
 using ReusePort = asio::detail::socket_option::boolean<SOL_SOCKET, SO_REUSEPORT>;
 
@@ -113,8 +114,13 @@
             co_await acceptor_->async_accept(asio::redirect_error(use_awaitable, error));
         if (error && stopping_)
             co_return;
-        if (error)
+        if (error) {
+            // Out of file descriptors, or the connection was reset: a later accept may succeed.
+            writeLog(LogLevel::Warn, "accept failed reason=" + error.message());
+            asio::steady_timer pause(context_, acceptRetryDelay);
+            co_await pause.async_wait(asio::redirect_error(use_awaitable, error));
             continue;
+        }
         asio::co_spawn(context_, serve(std::move(socket)), asio::detached);
     }
 }
--- a/packages/server/src/peer_network.cpp
+++ b/packages/server/src/peer_network.cpp
@@ -22,6 +22,7 @@
 
 constexpr auto handshakeTimeout = milliseconds(1000);
 constexpr auto dialBackoff = milliseconds(100); // between a handshake timeout and the next dial
+constexpr auto acceptRetryDelay = milliseconds(100);
 constexpr auto pingCheckInterval = milliseconds(100);
 // A connection is active for activePeriod after each message that carries work, and idle otherwise.
 constexpr nanoseconds activePingInterval = milliseconds(400);
@@ -186,8 +187,15 @@
         boost::system::error_code error;
         tcp::socket socket =
             co_await acceptor_->async_accept(asio::redirect_error(use_awaitable, error));
-        if (error)
+        if (error && closed_)
             co_return;
+        if (error) {
+            // Out of file descriptors, or the connection was reset: a later accept may succeed.
+            writeLog(LogLevel::Warn, "accept failed reason=" + error.message());
+            asio::steady_timer pause(context_, acceptRetryDelay);
+            co_await pause.async_wait(asio::redirect_error(use_awaitable, error));
+            continue;
+        }
         asio::co_spawn(context_,
                        serve(std::make_shared<PeerConnection>(std::move(socket), context_)),
                        asio::detached);
--- a/packages/server/tests/unit-peer_network.cpp
+++ b/packages/server/tests/unit-peer_network.cpp
@@ -11,6 +11,9 @@
 #include <boost/test/data/test_case.hpp>
 #include <boost/test/unit_test.hpp>
 
+#include <sys/resource.h>
+#include <unistd.h>
+
 #include <list>
 
 namespace {
@@ -192,4 +195,28 @@
     BOOST_TEST((delay <= item.atMost_));
 }
 
+// The loop ended at the first failed accept, so that no peer could connect any more.
+BOOST_AUTO_TEST_CASE(peers_connect_again_after_file_descriptors_ran_out)
+{
+    asio::io_context context;
+    TestPeer listener(context, "listener", "secret");
+    TestPeer dialler(context, "dialler", "secret");
+    const std::uint16_t port = listener.network_.listen("127.0.0.1", 0);
+    tcp::socket early(context, tcp::v4());
+    rlimit usual{};
+    BOOST_REQUIRE(getrlimit(RLIMIT_NOFILE, &usual) == 0);
+    const int lowestFree = dup(early.native_handle());
+    BOOST_REQUIRE(lowestFree > 0);
+    ::close(lowestFree);
+    rlimit exhausted = usual;
+    exhausted.rlim_cur = static_cast<rlim_t>(lowestFree);
+    BOOST_REQUIRE(setrlimit(RLIMIT_NOFILE, &exhausted) == 0);
+    early.connect({asio::ip::make_address("127.0.0.1"), port});
+    context.run_for(milliseconds(300)); // accepting fails
+    BOOST_REQUIRE(setrlimit(RLIMIT_NOFILE, &usual) == 0);
+    dialler.network_.setAddress("listener", PeerAddress{"127.0.0.1", port});
+    dialler.network_.send("listener", Cancel{});
+    BOOST_TEST(runUntil(context, [&] { return !listener.received_.empty(); }));
+}
+
 } // namespace
