--- a/packages/decision/tests/unit-direct.cpp
+++ b/packages/decision/tests/unit-direct.cpp
@@ -264,7 +264,7 @@
     {{4, 2, 4294967295}, true}, // the route has two stages
 };
 
-// A scheduler ended when it allocated the pieces, and so did each one that was asked next.
+// The allocation of the pieces failed at each scheduler in turn, or used up its memory.
 BOOST_DATA_TEST_CASE(request_with_too_many_pieces_never_reaches_a_scheduler,
                      data::make(pieceCountTable), row)
 {
