--- a/packages/decision/tests/unit-scheduler.cpp
+++ b/packages/decision/tests/unit-scheduler.cpp
@@ -6,6 +6,7 @@
 #include <boost/test/data/test_case.hpp>
 
 #include <array>
+#include <cmath>
 #include <numeric>
 
 namespace {
@@ -541,4 +542,96 @@
     }
 }
 
+// An entry of an older version forwards any number of pieces.
+BOOST_DATA_TEST_CASE(plan_request_with_too_many_pieces_is_refused_without_allocating_them,
+                     data::make({maxPiecesPerRequest + 1, 4294967295u}), count)
+{
+    StageModel model({});
+    const std::string other = model.submit(2, 1);
+    const std::string id = model.submit(count, 0);
+    BOOST_REQUIRE(model.refusals_.contains(id));
+    BOOST_TEST(model.refusals_[id].reason_ == "too_many_pieces");
+    model.advance(seconds(2));
+    BOOST_TEST(model.grants_.contains(other));
+}
+
+struct ItemCountRow
+{
+    const char *description_;
+    std::size_t count_;
+};
+
+std::ostream &operator<<(std::ostream &stream, const ItemCountRow &row)
+{
+    return stream << row.description_;
+}
+
+const ItemCountRow itemCountTable[] = {
+    {"no items", 0}, {"fewer items", 1}, {"one more item", 5}, {"many more items", 5000}};
+
+BOOST_DATA_TEST_CASE(answer_with_another_number_of_items_is_a_failed_call,
+                     data::make(itemCountTable) * data::xrange(0, 2), row, takeover)
+{
+    StageModelSettings settings;
+    settings.schedulers_ = 2;
+    settings.stageUpstreams_ = 1;
+    StageModel model(settings);
+    const std::string id = model.submit(4, 1);
+    if (takeover == 1)
+        model.moveToScheduler(id, 1, 0);
+    model.advance(milliseconds(30));
+    const StartStageCall call = model.calls_.back();
+    std::vector<StageItemResult> items(row.count_, StageItemResult{"h", ItemFailure::None});
+    if (!items.empty())
+        items[0] = StageItemResult{{}, ItemFailure::StorageFull};
+    model.endCall(takeover == 1 ? 0 : 1, call, StageCallEnd::Done, items);
+    model.advance(seconds(3));
+    BOOST_TEST(model.grants_.contains(id)); // the pieces are processed by another call
+}
+
+struct CapacityRow
+{
+    std::uint32_t batch_;
+    microseconds callTime_;
+    microseconds pieceTime_;
+};
+
+std::ostream &operator<<(std::ostream &stream, const CapacityRow &row)
+{
+    return stream << row.batch_ << " pieces, call " << row.callTime_.count() << " us, piece "
+                  << row.pieceTime_.count() << " us";
+}
+
+const CapacityRow oddCapacityTable[] = {
+    {0, milliseconds(200), milliseconds(20)},
+    {8, microseconds(0), microseconds(0)},
+    {0, microseconds(0), microseconds(0)},
+};
+
+// A configuration may state any capacity; its pieces are still processed.
+BOOST_DATA_TEST_CASE(stages_run_at_upstreams_with_a_stated_capacity_of_zero,
+                     data::make(oddCapacityTable), row)
+{
+    StageModel model({});
+    auto view = std::make_shared<View>(*model.state().view_);
+    view->version_ = 2;
+    for (Pool &pool : view->fleet_.pools_) {
+        if (!pool.pieces_)
+            continue;
+        pool.pieces_->batch_ = row.batch_;
+        pool.pieces_->callTime_ = row.callTime_;
+        pool.pieces_->pieceTime_ = row.pieceTime_;
+    }
+    model.handle(0, SchedulerView{view});
+    std::vector<std::string> ids;
+    for (int round = 0; round < 5; ++round) {
+        ids.push_back(model.submit(2, 1));
+        model.advance(milliseconds(1500));
+    }
+    for (const std::string &id : ids)
+        BOOST_TEST(model.grants_.contains(id));
+    for (const auto &[name, upstream] : model.state().stageUpstreams_)
+        BOOST_TEST(std::isfinite(upstream.slowdown_), name);
+}
+
 } // namespace
--- a/packages/server/src/http_server.cpp
+++ b/packages/server/src/http_server.cpp
@@ -3,6 +3,7 @@
 #include "chervilspring/detail/net/peer_disconnect.hpp"
 #include "chervilspring/detail/net/read_limits.hpp"
 #include "chervilspring/error.hpp"
+#include "chervilspring/log.hpp"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -22,6 +23,7 @@
 namespace {
 
 constexpr auto writeTimeout = seconds(10); // for a caller that does not read
+constexpr auto acceptRetryDelay = milliseconds(100);
 constexpr std::size_t maxHeaderBytes = 16384;
 using ReusePort = asio::detail::socket_option::boolean<SOL_SOCKET, SO_REUSEPORT>;
 
@@ -112,8 +114,13 @@
             co_await acceptor_->async_accept(asio::redirect_error(use_awaitable, error));
         if (error && stopping_)
             co_return;
-        if (error)
+        if (error) {
+            // Out of file descriptors, or the connection was reset: a later accept may succeed.
+            writeLog(LogLevel::Warn, "accept failed reason=" + error.message());
+            asio::steady_timer pause(context_, acceptRetryDelay);
+            co_await pause.async_wait(asio::redirect_error(use_awaitable, error));
             continue;
+        }
         asio::co_spawn(context_, serve(std::move(socket)), asio::detached);
     }
 }
@@ -163,7 +170,17 @@
     const bool keepAlive = parser.get().keep_alive() && !stopping_;
     auto exchange = std::make_shared<HttpExchange>(context_, parser.release());
     ++busyConnections_;
-    handler_(exchange);
+    try {
+        handler_(exchange);
+    } catch (const std::exception &error) {
+        writeLog(LogLevel::Error,
+                 "request failed path=" + exchange->path() + " reason=" + error.what());
+        HttpAnswer answer;
+        answer.status_ = 500;
+        answer.body_ = errorBody(static_cast<int>(ErrorId::StageFailed), "unknown",
+                                 "answer request", "", error.what());
+        exchange->answer(std::move(answer));
+    }
     bool callerConnected = false;
     try {
         callerConnected = co_await waitForAnswer(stream, exchange);
