Callers: an expired read deadline no longer cancels the operation after it

Callers saw a connection closed in the middle of a request that they were sending in time, without an answer; and an entry didn't notice that a caller had left.

Cause: a deadline cancels the socket from the handler of a timer. If the timer expires in the same turn of the event loop in which the awaited bytes arrive (a process that was paused, or busy for longer than the rest of the limit), the read ends first and disarms the timer, but the timer's handler is queued already and can't be cancelled. It then cancels whatever is pending on the socket: the read of the rest of the head or body, or the wait for a disconnect.

Each deadline has a number now, and a handler acts only if its number is still armed on the connection.

DirectServer::listen() returns the port, as HttpServer::listen() does, for tests.

--- a/packages/server/include/chervilspring/detail/net/direct_server.hpp
+++ b/packages/server/include/chervilspring/detail/net/direct_server.hpp
@@ -23,6 +23,8 @@
     boost::asio::ip::tcp::socket socket_;
     boost::asio::steady_timer exchangeEndSignal_; ///< cancelled when currentExchange_ ends
     bool readWaitPending_ = false; ///< a wait until the socket is readable is pending
+    std::uint64_t lastDeadline_ = 0; ///< number of the latest deadline for reading
+    std::uint64_t armedDeadline_ = 0; ///< number of the deadline in force; 0: none
     std::weak_ptr<DirectExchange> currentExchange_; ///< the exchange in progress
 };
 
@@ -102,8 +104,10 @@
     DirectServer(boost::asio::io_context &context, DirectHandlers handlers);
 
     /// @brief Starts accepting connections.
+    /// @param endpoint address and port; port 0 stands for any free port
+    /// @return the port that was bound
     /// @throws boost::system::system_error if the port cannot be bound
-    void listen(const boost::asio::ip::tcp::endpoint &endpoint);
+    std::uint16_t listen(const boost::asio::ip::tcp::endpoint &endpoint);
 
     /// @brief Sets the limits for requests that are read from now on.
     void setLimits(const CallerLimits &limits) { limits_ = limits; }
--- a/packages/server/src/direct_server.cpp
+++ b/packages/server/src/direct_server.cpp
@@ -33,18 +33,26 @@
 {
 public:
     ReadDeadline(std::shared_ptr<CallerConnection> connection, nanoseconds timeout)
-        : timer_(connection->socket_.get_executor(), timeout)
+        : connection_(std::move(connection)), timer_(connection_->socket_.get_executor(), timeout)
     {
-        timer_.async_wait([connection](boost::system::error_code error) {
+        const std::uint64_t number = ++connection_->lastDeadline_;
+        connection_->armedDeadline_ = number;
+        timer_.async_wait([connection = connection_, number](boost::system::error_code error) {
             boost::system::error_code ignored;
-            if (!error)
+            if (!error && connection->armedDeadline_ == number)
                 connection->socket_.cancel(ignored);
         });
     }
 
-    void disarm() { timer_.cancel(); }
+    // The number tells the handler of a timer that had already expired, which can't be cancelled.
+    void disarm()
+    {
+        connection_->armedDeadline_ = 0;
+        timer_.cancel();
+    }
 
 private:
+    std::shared_ptr<CallerConnection> connection_;
     asio::steady_timer timer_;
 };
 
@@ -164,13 +172,14 @@
     : context_(context), handlers_(std::move(handlers)), acceptor_(context)
 { }
 
-void DirectServer::listen(const tcp::endpoint &endpoint)
+std::uint16_t DirectServer::listen(const tcp::endpoint &endpoint)
 {
     acceptor_.open(endpoint.protocol());
     acceptor_.set_option(tcp::acceptor::reuse_address(true));
     acceptor_.bind(endpoint);
     acceptor_.listen();
     asio::co_spawn(context_, acceptLoop(), asio::detached);
+    return acceptor_.local_endpoint().port();
 }
 
 void DirectServer::stop()
