Callers: a stop drops no request that has begun to arrive

Callers saw their connection closed without an answer, or reset, when an entry stopped 3.2 s after SIGTERM: a request that was half read, one whose bytes had arrived but weren't read yet, and one that had arrived while the previous request of its connection was in progress.

Cause: DirectServer::stop() cancelled the read on every connection whose request wasn't complete, and didn't look for bytes that had come in between. After an answer, a stopped server closed the connection unless bytes were in its own buffer. A half-read request didn't count as busy, so the process could exit beside it.

A connection has a phase: idle, reading or answering. A stop and the end of the idle time cancel only idle ones, and these read what has arrived before they close. Half-read requests go on within their read limits and count as busy; the owner decides about them as about all others. The sizes that apply are those in force when the request begins to arrive, not those of the time at which the connection became idle.

--- a/packages/server/include/chervilspring/detail/net/direct_server.hpp
+++ b/packages/server/include/chervilspring/detail/net/direct_server.hpp
@@ -11,6 +11,13 @@
 
 class DirectExchange;
 
+/// @brief What happens on a caller's connection.
+enum class ConnectionPhase {
+    Idle, ///< no byte of the next request was read
+    Reading, ///< part of a request was read
+    Answering, ///< a request is in progress
+};
+
 /// @brief A caller's connection. Shared with the run whose answer is written to it.
 struct CallerConnection
 {
@@ -21,6 +28,8 @@
     }
 
     boost::asio::ip::tcp::socket socket_;
+    boost::beast::flat_buffer buffer_; ///< bytes that were read but not parsed yet
+    ConnectionPhase phase_ = ConnectionPhase::Idle;
     boost::asio::steady_timer exchangeEndSignal_; ///< cancelled when currentExchange_ ends
     bool readWaitPending_ = false; ///< a wait until the socket is readable is pending
     std::uint64_t lastDeadline_ = 0; ///< number of the latest deadline for reading
@@ -115,25 +124,27 @@
     /// @brief Makes answers to further requests announce that the connection closes after them.
     void closeAfterAnswers() { closing_ = true; }
 
-    /// @brief Stops accepting and closes connections on which no request is in progress. The others
-    /// close after their answer.
+    /// @brief Stops accepting and closes idle connections. The others close after their answer.
+    ///
+    /// A request of which a byte has arrived is still read and handed to the owner.
     void stop();
 
-    /// @brief Returns the number of connections with a request in progress.
-    std::size_t busyConnections() const { return busyConnections_; }
+    /// @brief Returns the number of connections with a request in progress, read completely or not.
+    std::size_t busyConnections() const;
 
     /// @brief Returns the number of open connections.
-    std::size_t openConnections() const { return openConnections_; }
+    std::size_t openConnections() const { return connections_.size(); }
 
 private:
     boost::asio::awaitable<void> acceptLoop();
     boost::asio::awaitable<void> serve(std::shared_ptr<CallerConnection> connection);
     /// Serves one request. Returns whether the connection stays open for another one.
-    boost::asio::awaitable<bool> serveOne(const std::shared_ptr<CallerConnection> &connection,
-                                          boost::beast::flat_buffer &buffer);
+    boost::asio::awaitable<bool> serveOne(const std::shared_ptr<CallerConnection> &connection);
+    /// Waits for the first byte of a request. Returns false if the connection must be closed.
+    boost::asio::awaitable<bool>
+    waitForRequest(const std::shared_ptr<CallerConnection> &connection);
     /// Reads one request. Returns false if none could be read; the connection must be closed then.
     boost::asio::awaitable<bool> readRequest(const std::shared_ptr<CallerConnection> &connection,
-                                             boost::beast::flat_buffer &buffer,
                                              HttpRequest &request);
     void watchForDisconnect(const std::shared_ptr<CallerConnection> &connection);
     void onReadable(CallerConnection &connection);
@@ -142,11 +153,8 @@
     DirectHandlers handlers_;
     CallerLimits limits_;
     boost::asio::ip::tcp::acceptor acceptor_;
-    /// Connections whose next request has not been received completely.
-    std::map<CallerConnection *, std::weak_ptr<CallerConnection>> idleConnections_;
+    std::map<CallerConnection *, std::weak_ptr<CallerConnection>> connections_; ///< open ones
     std::uint64_t nextToken_ = 1; ///< token of the next exchange
-    std::size_t busyConnections_ = 0;
-    std::size_t openConnections_ = 0;
     bool closing_ = false; ///< answers to further requests close their connection
     bool stopped_ = false; ///< stop() was called
 };
--- a/packages/server/src/direct_server.cpp
+++ b/packages/server/src/direct_server.cpp
@@ -10,6 +10,7 @@
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
 
+#include <algorithm>
 #include <cstdio>
 
 namespace chervilspring {
@@ -24,6 +25,7 @@
 
 constexpr auto bodyReadTimeout = seconds(10);
 constexpr auto acceptRetryDelay = milliseconds(10);
+constexpr std::size_t firstReadBytes = 4096; // of a request
 constexpr unsigned statusBadRequest = 400;
 constexpr unsigned statusBodyTooLarge = 413;
 constexpr unsigned statusHeaderTooLarge = 431;
@@ -188,12 +190,22 @@
     closing_ = true;
     boost::system::error_code ignored;
     acceptor_.close(ignored);
-    for (const auto &[key, weak] : idleConnections_) {
-        if (const auto connection = weak.lock())
+    for (const auto &[key, weak] : connections_) {
+        const auto connection = weak.lock();
+        if (connection && connection->phase_ == ConnectionPhase::Idle)
             connection->socket_.cancel(ignored);
     }
 }
 
+std::size_t DirectServer::busyConnections() const
+{
+    return static_cast<std::size_t>(
+        std::count_if(connections_.begin(), connections_.end(), [](const auto &item) {
+            const auto connection = item.second.lock();
+            return connection && connection->phase_ != ConnectionPhase::Idle;
+        }));
+}
+
 asio::awaitable<void> DirectServer::acceptLoop()
 {
     while (!stopped_) {
@@ -217,36 +229,52 @@
 
 asio::awaitable<void> DirectServer::serve(std::shared_ptr<CallerConnection> connection)
 {
-    ++openConnections_;
-    beast::flat_buffer buffer;
+    connections_[connection.get()] = connection;
     boost::system::error_code ignored;
     connection->socket_.set_option(tcp::no_delay(true), ignored);
     try {
-        while (co_await serveOne(connection, buffer)) { }
+        while (co_await serveOne(connection)) { }
     } catch (const std::exception &error) {
         writeLog(LogLevel::Debug, std::string("caller connection ended reason=") + error.what());
     }
-    idleConnections_.erase(connection.get());
-    --openConnections_;
+    connections_.erase(connection.get());
     connection->socket_.shutdown(tcp::socket::shutdown_send, ignored);
 }
 
+asio::awaitable<bool>
+DirectServer::waitForRequest(const std::shared_ptr<CallerConnection> &connection)
+{
+    beast::flat_buffer &buffer = connection->buffer_;
+    const Instant idleUntil = BootClock::now() + limits_.idleTime_;
+    while (buffer.size() == 0) {
+        connection->phase_ = ConnectionPhase::Idle;
+        boost::system::error_code error;
+        ReadDeadline deadline(connection, stopped_ ? nanoseconds(0) : idleUntil - BootClock::now());
+        buffer.commit(co_await connection->socket_.async_read_some(
+            buffer.prepare(firstReadBytes), asio::redirect_error(use_awaitable, error)));
+        deadline.disarm();
+        if (error && error != asio::error::operation_aborted)
+            co_return false; // closed by the caller
+        // Bytes that arrived before the read was cancelled belong to a request.
+        const bool expired = stopped_ || BootClock::now() >= idleUntil;
+        if (error && expired && connection->socket_.available(error) == 0)
+            co_return false;
+    }
+    connection->phase_ = ConnectionPhase::Reading;
+    co_return true;
+}
+
 asio::awaitable<bool> DirectServer::readRequest(const std::shared_ptr<CallerConnection> &connection,
-                                                beast::flat_buffer &buffer, HttpRequest &request)
+                                                HttpRequest &request)
 {
+    if (!co_await waitForRequest(connection))
+        co_return false;
+    beast::flat_buffer &buffer = connection->buffer_;
+    buffer.max_size(std::max<std::size_t>(maxUnparsedBytes, 2 * limits_.headerBytes_));
     http::request_parser<http::string_body> parser;
     parser.header_limit(limits_.headerBytes_);
-    buffer.max_size(std::max<std::size_t>(maxUnparsedBytes, 2 * limits_.headerBytes_));
     parser.body_limit(limits_.bodyBytes_);
     boost::system::error_code error;
-    if (buffer.size() == 0) {
-        ReadDeadline idleDeadline(connection, limits_.idleTime_);
-        buffer.commit(co_await connection->socket_.async_read_some(
-            buffer.prepare(4096), asio::redirect_error(use_awaitable, error)));
-        idleDeadline.disarm();
-        if (error)
-            co_return false; // closed by the caller, or idle for too long
-    }
     ReadDeadline headerDeadline(connection, limits_.headerTime_);
     MessageSize messageSize;
     co_await readHead(connection->socket_, buffer, parser, messageSize, error);
@@ -301,31 +329,24 @@
     exchange->onCallerGone();
 }
 
-asio::awaitable<bool> DirectServer::serveOne(const std::shared_ptr<CallerConnection> &connection,
-                                             beast::flat_buffer &buffer)
+asio::awaitable<bool> DirectServer::serveOne(const std::shared_ptr<CallerConnection> &connection)
 {
-    if (stopped_ && buffer.size() == 0)
-        co_return false;
-    idleConnections_[connection.get()] = connection;
     HttpRequest request;
-    const bool complete = co_await readRequest(connection, buffer, request);
-    idleConnections_.erase(connection.get());
-    if (!complete)
+    if (!co_await readRequest(connection, request))
         co_return false;
+    connection->phase_ = ConnectionPhase::Answering;
     const bool keepAlive = request.keep_alive() && !closing_;
     auto exchange =
         std::make_shared<DirectExchange>(nextToken_++, connection, std::move(request), keepAlive);
-    ++busyConnections_;
     connection->currentExchange_ = exchange;
     handlers_.onRequest_(exchange);
-    if (!exchange->ended() && buffer.size() == 0)
+    if (!exchange->ended() && connection->buffer_.size() == 0)
         watchForDisconnect(connection);
     while (!exchange->ended()) {
         boost::system::error_code ignored;
         co_await connection->exchangeEndSignal_.async_wait(
             asio::redirect_error(use_awaitable, ignored));
     }
-    --busyConnections_;
     co_return exchange->keepAlive_ && connection->socket_.is_open();
 }
 
--- a/packages/server/tests/unit-direct_server.cpp
+++ b/packages/server/tests/unit-direct_server.cpp
@@ -219,4 +219,81 @@
     BOOST_TEST(fixture.runUntil([&] { return !fixture.gone_.empty(); }));
 }
 
+struct StopRow
+{
+    const char *name_;
+    std::string beforeStop_; ///< read by the server before it stops
+    std::string besideStop_; ///< arrives just before the server stops, not read by then
+    std::string afterStop_; ///< sent after the server has stopped
+};
+
+std::ostream &operator<<(std::ostream &out, const StopRow &item)
+{
+    return out << item.name_;
+}
+
+const StopRow stopRows[] = {
+    {"request that is not read yet", "", request, ""},
+    {"beginning of a request that is not read yet", "", request.substr(0, 10), request.substr(10)},
+    {"half of a head", request.substr(0, 10), "", request.substr(10)},
+    {"half of a body", request.substr(0, request.size() - 2), "", "dy"},
+    {"half of a head, rest not read yet", request.substr(0, 10), request.substr(10), ""},
+};
+
+BOOST_DATA_TEST_CASE(stop_drops_no_request_that_has_begun_to_arrive, data::make(stopRows), item)
+{
+    Fixture fixture;
+    fixture.onRequest_ = answerOk;
+    Caller caller(fixture.port_);
+    caller.send(item.beforeStop_);
+    fixture.runFor(settleTime);
+    BOOST_TEST(fixture.server_.busyConnections() == (item.beforeStop_.empty() ? 0u : 1u));
+    caller.send(item.besideStop_);
+    fixture.server_.closeAfterAnswers();
+    fixture.server_.stop();
+    fixture.runFor(settleTime);
+    caller.send(item.afterStop_);
+    BOOST_TEST(fixture.runUntilReceived(caller, "done"), caller.received_);
+    BOOST_TEST(caller.received("Connection: close"));
+    BOOST_TEST(fixture.runUntil([&] {
+        caller.receive();
+        return caller.closed_;
+    }));
+    BOOST_TEST(fixture.server_.busyConnections() == 0u);
+}
+
+BOOST_AUTO_TEST_CASE(stop_drops_no_request_that_arrives_before_the_end_of_the_previous_one)
+{
+    Fixture fixture;
+    Caller caller(fixture.port_);
+    caller.send(request);
+    BOOST_REQUIRE(fixture.runUntil([&] { return fixture.exchanges_.size() == 1; }));
+    caller.send(request);
+    fixture.server_.stop();
+    fixture.runFor(settleTime);
+    fixture.exchanges_[0]->answer(answerHead, "first");
+    BOOST_TEST(fixture.runUntilReceived(caller, "first"), caller.received_);
+    BOOST_REQUIRE(fixture.runUntil([&] { return fixture.exchanges_.size() == 2; }, seconds(1)));
+    fixture.exchanges_[1]->answer(answerHead, "second");
+    BOOST_TEST(fixture.runUntilReceived(caller, "second"), caller.received_);
+}
+
+BOOST_AUTO_TEST_CASE(stop_closes_idle_connections)
+{
+    Fixture fixture;
+    fixture.onRequest_ = answerOk;
+    Caller unused(fixture.port_);
+    Caller used(fixture.port_);
+    used.send(request);
+    BOOST_REQUIRE(fixture.runUntilReceived(used, "done"));
+    fixture.runFor(settleTime);
+    BOOST_TEST(fixture.server_.openConnections() == 2u);
+    fixture.server_.stop();
+    BOOST_TEST(fixture.runUntil([&] { return fixture.server_.openConnections() == 0; }));
+    unused.receive();
+    used.receive();
+    BOOST_TEST(unused.closed_);
+    BOOST_TEST(used.closed_);
+}
+
 } // namespace
