Callers: answers after SIGTERM announce the close, and no request read before it is dropped

Callers weren't told about the stop by the answers to requests in progress at SIGTERM, kept the connection and could send the next request just when the entry closed it as idle. A caller that had sent its next request together with an earlier one, after SIGTERM, got "Connection: close" with the first answer and nothing for the second request, which the entry had read.

Cause: whether an answer announces the close was decided when its request was complete, by the stop alone.

On the code before, answers_to_requests_in_progress_at_a_stop_announce_the_close printed the answer without "Connection: close", and request_that_was_read_beside_an_earlier_one_is_answered_at_a_stop failed where the stop comes first ("fixture.exchanges_.size() == 2 ... has failed").

The stop changes the exchanges whose answer hasn't begun, and no answer announces the close while bytes of a further request have been read.

--- a/packages/server/include/chervilspring/detail/net/direct_server.hpp
+++ b/packages/server/include/chervilspring/detail/net/direct_server.hpp
@@ -121,8 +121,10 @@
     /// @brief Sets the limits for requests that are read from now on.
     void setLimits(const CallerLimits &limits) { limits_ = limits; }
 
-    /// @brief Makes answers to further requests announce that the connection closes after them.
-    void closeAfterAnswers() { closing_ = true; }
+    /// @brief Makes answers that have not begun announce that the connection closes after them.
+    ///
+    /// Where a further request was read already, the answer to that one announces it.
+    void closeAfterAnswers();
 
     /// @brief Stops accepting and closes idle connections. The others close after their answer.
     ///
@@ -155,7 +157,7 @@
     boost::asio::ip::tcp::acceptor acceptor_;
     std::map<CallerConnection *, std::weak_ptr<CallerConnection>> connections_; ///< open ones
     std::uint64_t nextToken_ = 1; ///< token of the next exchange
-    bool closing_ = false; ///< answers to further requests close their connection
+    bool closing_ = false; ///< closeAfterAnswers() was called
     bool stopped_ = false; ///< stop() was called
 };
 
--- a/packages/server/src/direct_server.cpp
+++ b/packages/server/src/direct_server.cpp
@@ -184,6 +184,17 @@
     return acceptor_.local_endpoint().port();
 }
 
+void DirectServer::closeAfterAnswers()
+{
+    closing_ = true;
+    for (const auto &[key, weak] : connections_) {
+        const auto connection = weak.lock();
+        const auto exchange = connection ? connection->currentExchange_.lock() : nullptr;
+        if (exchange && !exchange->headSent() && connection->buffer_.size() == 0)
+            exchange->keepAlive_ = false;
+    }
+}
+
 void DirectServer::stop()
 {
     stopped_ = true;
@@ -335,7 +346,7 @@
     if (!co_await readRequest(connection, request))
         co_return false;
     connection->phase_ = ConnectionPhase::Answering;
-    const bool keepAlive = request.keep_alive() && !closing_;
+    const bool keepAlive = request.keep_alive() && !(closing_ && connection->buffer_.size() == 0);
     auto exchange =
         std::make_shared<DirectExchange>(nextToken_++, connection, std::move(request), keepAlive);
     connection->currentExchange_ = exchange;
--- a/packages/server/tests/unit-direct_server.cpp
+++ b/packages/server/tests/unit-direct_server.cpp
@@ -296,4 +296,34 @@
     BOOST_TEST(used.closed_);
 }
 
+BOOST_AUTO_TEST_CASE(answers_to_requests_in_progress_at_a_stop_announce_the_close)
+{
+    Fixture fixture;
+    Caller caller(fixture.port_);
+    caller.send(request);
+    BOOST_REQUIRE(fixture.runUntil([&] { return fixture.exchanges_.size() == 1; }));
+    fixture.server_.closeAfterAnswers();
+    answerOk(fixture.exchanges_[0]);
+    BOOST_TEST(fixture.runUntilReceived(caller, "done"));
+    BOOST_TEST(caller.received("Connection: close"), caller.received_);
+}
+
+BOOST_DATA_TEST_CASE(request_that_was_read_beside_an_earlier_one_is_answered_at_a_stop,
+                     data::make({true, false}), stopsFirst)
+{
+    Fixture fixture;
+    Caller caller(fixture.port_);
+    if (stopsFirst)
+        fixture.server_.closeAfterAnswers();
+    caller.send(request + request);
+    BOOST_REQUIRE(fixture.runUntil([&] { return fixture.exchanges_.size() == 1; }));
+    fixture.server_.closeAfterAnswers();
+    answerOk(fixture.exchanges_[0]);
+    BOOST_REQUIRE(fixture.runUntil([&] { return fixture.exchanges_.size() == 2; }, seconds(1)));
+    caller.receive();
+    BOOST_TEST(!caller.received("Connection: close"), caller.received_);
+    answerOk(fixture.exchanges_[1]);
+    BOOST_TEST(fixture.runUntilReceived(caller, "Connection: close"), caller.received_);
+}
+
 } // namespace
