Callers: a changed idle limit doesn't close connections that callers may still reuse

Callers that reused a connection after a change of the idle limit could find it closed, or their request unread: after a change to a longer limit, connections that were idle at the change were closed after the shorter one; after a change to a shorter one, connections that became idle later were closed by it although callers may still have gone by the old.

Cause: the limit was read once, when a connection became idle, and a change was in force for the next wait at once. Callers and entries learn of a change at different times.

On the code before, connection_is_reusable_for_the_longer_limit_around_a_change failed in the rows "longer limit while the connection is idle" and "shorter limit just before the connection is idle" (no answer to the second request); the two other rows and shorter_idle_limit_applies_once_the_old_one_has_passed passed.

The end of a wait is checked against the limit in force, so a longer one applies to idle connections; a shorter one applies once the previous limit has passed since the change. The first limits that are set are no change.

The deadline tests give their limits to the fixture, since a later change doesn't shorten the idle time at once, and set a short limit only for the deadline that each row is about: they hang less on time.

--- a/packages/server/include/chervilspring/detail/net/direct_server.hpp
+++ b/packages/server/include/chervilspring/detail/net/direct_server.hpp
@@ -118,8 +118,12 @@
     /// @throws boost::system::system_error if the port cannot be bound
     std::uint16_t listen(const boost::asio::ip::tcp::endpoint &endpoint);
 
-    /// @brief Sets the limits for requests that are read from now on.
-    void setLimits(const CallerLimits &limits) { limits_ = limits; }
+    /// @brief Sets the limits for requests that begin to arrive from now on.
+    ///
+    /// A longer idle time holds for connections that are idle already. A shorter one is applied
+    /// once the previous one has passed, since callers may learn of the change later than this
+    /// server.
+    void setLimits(const CallerLimits &limits);
 
     /// @brief Makes answers that have not begun announce that the connection closes after them.
     ///
@@ -142,6 +146,8 @@
     boost::asio::awaitable<void> serve(std::shared_ptr<CallerConnection> connection);
     /// Serves one request. Returns whether the connection stays open for another one.
     boost::asio::awaitable<bool> serveOne(const std::shared_ptr<CallerConnection> &connection);
+    /// Returns how long a connection may be idle.
+    nanoseconds idleTime() const;
     /// Waits for the first byte of a request. Returns false if the connection must be closed.
     boost::asio::awaitable<bool>
     waitForRequest(const std::shared_ptr<CallerConnection> &connection);
@@ -154,6 +160,9 @@
     boost::asio::io_context &context_;
     DirectHandlers handlers_;
     CallerLimits limits_;
+    bool limitsSet_ = false; ///< setLimits() was called
+    nanoseconds previousIdleTime_{0}; ///< idle time before the latest change
+    Instant idleTimeChangedAt_{}; ///< when limits_.idleTime_ changed last
     boost::asio::ip::tcp::acceptor acceptor_;
     std::map<CallerConnection *, std::weak_ptr<CallerConnection>> connections_; ///< open ones
     std::uint64_t nextToken_ = 1; ///< token of the next exchange
--- a/packages/server/src/direct_server.cpp
+++ b/packages/server/src/direct_server.cpp
@@ -184,6 +184,23 @@
     return acceptor_.local_endpoint().port();
 }
 
+void DirectServer::setLimits(const CallerLimits &limits)
+{
+    if (limitsSet_ && limits.idleTime_ != limits_.idleTime_) {
+        previousIdleTime_ = idleTime();
+        idleTimeChangedAt_ = BootClock::now();
+    }
+    limits_ = limits;
+    limitsSet_ = true;
+}
+
+nanoseconds DirectServer::idleTime() const
+{
+    const bool changedRecently = BootClock::now() - idleTimeChangedAt_ < previousIdleTime_;
+    return changedRecently ? std::max<nanoseconds>(previousIdleTime_, limits_.idleTime_)
+                           : limits_.idleTime_;
+}
+
 void DirectServer::closeAfterAnswers()
 {
     closing_ = true;
@@ -256,7 +273,8 @@
 DirectServer::waitForRequest(const std::shared_ptr<CallerConnection> &connection)
 {
     beast::flat_buffer &buffer = connection->buffer_;
-    const Instant idleUntil = BootClock::now() + limits_.idleTime_;
+    const Instant idleSince = BootClock::now();
+    Instant idleUntil = idleSince + idleTime();
     while (buffer.size() == 0) {
         connection->phase_ = ConnectionPhase::Idle;
         boost::system::error_code error;
@@ -266,6 +284,7 @@
         deadline.disarm();
         if (error && error != asio::error::operation_aborted)
             co_return false; // closed by the caller
+        idleUntil = std::max(idleUntil, idleSince + idleTime());
         // Bytes that arrived before the read was cancelled belong to a request.
         const bool expired = stopped_ || BootClock::now() >= idleUntil;
         if (error && expired && connection->socket_.available(error) == 0)
--- a/packages/server/tests/unit-direct_server.cpp
+++ b/packages/server/tests/unit-direct_server.cpp
@@ -77,7 +77,7 @@
 
 struct Fixture
 {
-    Fixture()
+    explicit Fixture(milliseconds idleTime = waitLimit, milliseconds headerTime = waitLimit)
         : server_(context_,
                   DirectHandlers{[this](const DirectExchangePointer &exchange) {
                                      exchanges_.push_back(exchange);
@@ -90,9 +90,7 @@
                                          onGone_();
                                  }})
     {
-        limits_.idleTime_ = waitLimit;
-        limits_.headerTime_ = waitLimit;
-        server_.setLimits(limits_);
+        setTimes(idleTime, headerTime);
         port_ = server_.listen({asio::ip::make_address("127.0.0.1"), 0});
     }
 
@@ -150,9 +148,13 @@
     exchange->answer(answerHead, "done");
 }
 
+constexpr milliseconds shortLimit(300); // expires while the server is paused
+
 struct SplitRequest
 {
     const char *name_;
+    milliseconds idleTime_;
+    milliseconds headerTime_;
     std::string beforeDeadline_; ///< received before the server is paused
     std::string duringPause_; ///< arrives while the server is paused
     std::string afterPause_; ///< sent after the server has continued
@@ -164,55 +166,51 @@
 }
 
 const SplitRequest lateRequests[] = {
-    {"idle time ends beside part of the head", "", request.substr(0, 10), request.substr(10)},
-    {"idle time ends beside the head", "", request.substr(0, request.size() - 4), "body"},
-    {"time for the head ends beside its end", request.substr(0, 10),
+    {"idle time ends beside part of the head", shortLimit, waitLimit, "", request.substr(0, 10),
+     request.substr(10)},
+    {"idle time ends beside the head", shortLimit, waitLimit, "",
+     request.substr(0, request.size() - 4), "body"},
+    {"time for the head ends beside its end", waitLimit, shortLimit, request.substr(0, 10),
      request.substr(10, request.size() - 12), "dy"},
 };
 
 BOOST_DATA_TEST_CASE(deadline_that_expires_beside_arriving_bytes_cancels_no_later_read,
                      data::make(lateRequests), item)
 {
-    constexpr milliseconds limit(100);
-    Fixture fixture;
+    Fixture fixture(item.idleTime_, item.headerTime_);
     fixture.onRequest_ = answerOk;
-    fixture.setTimes(limit, limit);
     Caller caller(fixture.port_);
     caller.send(item.beforeDeadline_);
-    fixture.runFor(limit / 4);
+    fixture.runFor(settleTime);
     caller.send(item.duringPause_);
-    Fixture::pause(limit);
-    fixture.runFor(limit / 4);
+    Fixture::pause(shortLimit);
+    fixture.runFor(settleTime);
     caller.send(item.afterPause_);
     BOOST_TEST(fixture.runUntilReceived(caller, "done"), caller.received_);
 }
 
 BOOST_AUTO_TEST_CASE(deadline_that_expires_beside_a_request_does_not_cut_its_answer)
 {
-    constexpr milliseconds limit(100);
     const std::string body = std::string(16u << 20, 'x') + "last bytes";
-    Fixture fixture;
+    Fixture fixture(shortLimit);
     fixture.onRequest_ = [&](const DirectExchangePointer &exchange) {
         exchange->answer(answerHead, body);
     };
-    fixture.setTimes(limit, limit);
     Caller caller(fixture.port_);
-    fixture.runFor(limit / 4);
+    fixture.runFor(settleTime);
     caller.send(request);
-    Fixture::pause(limit);
+    Fixture::pause(shortLimit);
     BOOST_TEST(fixture.runUntilReceived(caller, "last bytes"),
                caller.received_.size() << " bytes received");
 }
 
 BOOST_AUTO_TEST_CASE(deadline_that_expires_beside_a_request_does_not_hide_a_disconnect)
 {
-    constexpr milliseconds limit(100);
-    Fixture fixture;
-    fixture.setTimes(limit, limit);
+    Fixture fixture(shortLimit);
     Caller caller(fixture.port_);
-    fixture.runFor(limit / 4);
+    fixture.runFor(settleTime);
     caller.send(request);
-    Fixture::pause(limit);
+    Fixture::pause(shortLimit);
     fixture.runFor(settleTime);
     BOOST_REQUIRE_EQUAL(fixture.exchanges_.size(), 1u);
     caller.leave(false);
@@ -326,4 +324,65 @@
     BOOST_TEST(fixture.runUntilReceived(caller, "Connection: close"), caller.received_);
 }
 
+struct IdleRow
+{
+    const char *name_;
+    milliseconds oldLimit_;
+    milliseconds newLimit_;
+    milliseconds changedAfter_; ///< time between the last answer and the change; < 0: before it
+    milliseconds reusedAfter_; ///< time between the last answer and the next request
+};
+
+std::ostream &operator<<(std::ostream &out, const IdleRow &item)
+{
+    return out << item.name_;
+}
+
+const IdleRow idleRows[] = {
+    {"longer limit while the connection is idle", milliseconds(150), milliseconds(2000),
+     milliseconds(50), milliseconds(600)},
+    {"shorter limit while the connection is idle", milliseconds(2000), milliseconds(150),
+     milliseconds(50), milliseconds(600)},
+    {"shorter limit just before the connection is idle", milliseconds(2000), milliseconds(150),
+     milliseconds(-1), milliseconds(600)},
+    {"longer limit just before the connection is idle", milliseconds(150), milliseconds(2000),
+     milliseconds(-1), milliseconds(600)},
+};
+
+// Callers learn of a changed limit at another time than the server.
+BOOST_DATA_TEST_CASE(connection_is_reusable_for_the_longer_limit_around_a_change,
+                     data::make(idleRows), item)
+{
+    Fixture fixture(item.oldLimit_);
+    fixture.onRequest_ = answerOk;
+    Caller caller(fixture.port_);
+    if (item.changedAfter_ < milliseconds(0))
+        fixture.setTimes(item.newLimit_, waitLimit);
+    caller.send(request);
+    BOOST_REQUIRE(fixture.runUntilReceived(caller, "done"));
+    caller.received_.clear();
+    if (item.changedAfter_ >= milliseconds(0)) {
+        fixture.runFor(item.changedAfter_);
+        fixture.setTimes(item.newLimit_, waitLimit);
+    }
+    fixture.runFor(item.reusedAfter_ - std::max(item.changedAfter_, milliseconds(0)));
+    caller.send(request);
+    BOOST_TEST(fixture.runUntilReceived(caller, "done"), caller.received_);
+}
+
+BOOST_AUTO_TEST_CASE(shorter_idle_limit_applies_once_the_old_one_has_passed)
+{
+    constexpr milliseconds oldLimit(300);
+    Fixture fixture(oldLimit);
+    fixture.setTimes(milliseconds(10), waitLimit);
+    fixture.runFor(oldLimit + milliseconds(10));
+    const Instant connectedAt = BootClock::now();
+    Caller caller(fixture.port_);
+    BOOST_TEST(fixture.runUntil([&] {
+        caller.receive();
+        return caller.closed_;
+    }));
+    BOOST_TEST((BootClock::now() - connectedAt < oldLimit));
+}
+
 } // namespace
