Callers: a caller that disconnects behind bytes of its next request is noticed

An entry went on working for callers that had left, at upstreams and in planning, if these had sent bytes of a further request before: together with the first request, or while it was in progress.

Cause: the wait for a readable socket wasn't started while such bytes were buffered, and wasn't started again once it had reported them, since unread bytes keep a socket readable and hide the end of the connection behind them.

On the code before, caller_that_disconnects_behind_further_bytes_is_noticed failed in its six rows with further bytes ("check fixture.runUntil([&] { return !fixture.gone_.empty(); }, seconds(1)) has failed"); the two without passed, as did requests_sent_ahead_are_answered_in_order and caller_that_sends_far_ahead_causes_no_busy_loop.

The bytes are read into the connection's buffer, from which the next request is parsed anyway, up to 64 KiB; behind more than that, a disconnect is noticed when the answer is written. They stay unread where the connection closes after the answer, so that the caller may send them again. A request that is read beside one whose answer hasn't begun is answered, too, before the connection closes for a stop: request_that_was_read_beside_an_earlier_one_is_answered_at_a_stop has rows for a request that is sent later now.

--- a/packages/server/include/chervilspring/detail/net/direct_server.hpp
+++ b/packages/server/include/chervilspring/detail/net/direct_server.hpp
@@ -154,8 +154,9 @@
     /// Reads one request. Returns false if none could be read; the connection must be closed then.
     boost::asio::awaitable<bool> readRequest(const std::shared_ptr<CallerConnection> &connection,
                                              HttpRequest &request);
+    /// Detects that the caller disconnects while its request is in progress.
     void watchForDisconnect(const std::shared_ptr<CallerConnection> &connection);
-    void onReadable(CallerConnection &connection);
+    void onReadable(const std::shared_ptr<CallerConnection> &connection);
 
     boost::asio::io_context &context_;
     DirectHandlers handlers_;
--- a/packages/server/src/direct_server.cpp
+++ b/packages/server/src/direct_server.cpp
@@ -58,6 +58,16 @@
     asio::steady_timer timer_;
 };
 
+// Reads what has arrived, up to a limit. Returns false if the peer has closed the connection.
+bool readArrived(tcp::socket &socket, beast::flat_buffer &buffer)
+{
+    boost::system::error_code error;
+    socket.non_blocking(true, error);
+    const std::size_t room = maxUnparsedBytes - std::min(maxUnparsedBytes, buffer.size());
+    buffer.commit(socket.read_some(buffer.prepare(std::min(room, firstReadBytes)), error));
+    return !error || error == asio::error::would_block || error == asio::error::try_again;
+}
+
 std::string makeRefusal(unsigned status, nanoseconds retryAfter, const std::string &reason,
                         bool keepAlive)
 {
@@ -337,24 +347,37 @@
     co_return false;
 }
 
-// Detects that the caller disconnects while its request is in progress.
 void DirectServer::watchForDisconnect(const std::shared_ptr<CallerConnection> &connection)
 {
-    if (connection->readWaitPending_)
+    // Behind that many unread bytes a disconnect is noticed when the answer is written.
+    const bool full = connection->buffer_.size() >= maxUnparsedBytes;
+    if (full || connection->readWaitPending_)
         return;
     connection->readWaitPending_ = true;
     connection->socket_.async_wait(tcp::socket::wait_read,
                                    [this, connection](boost::system::error_code) {
                                        connection->readWaitPending_ = false;
-                                       onReadable(*connection);
+                                       onReadable(connection);
                                    });
 }
 
-void DirectServer::onReadable(CallerConnection &connection)
+void DirectServer::onReadable(const std::shared_ptr<CallerConnection> &connection)
 {
-    const auto exchange = connection.currentExchange_.lock();
-    if (!exchange || exchange->ended() || !isClosedByPeer(connection.socket_))
-        return; // no request is in progress, or the bytes belong to the next one
+    const auto exchange = connection->currentExchange_.lock();
+    if (!exchange || exchange->ended())
+        return; // readRequest() reads
+    // A disconnect behind bytes of further requests can't be seen before they are read. If the
+    // connection closes after this answer, they stay unread, so that they may be sent again.
+    const bool closes =
+        !exchange->request().keep_alive() || (exchange->headSent() && !exchange->keepAlive_);
+    if (closes && !isClosedByPeer(connection->socket_))
+        return;
+    if (!closes && readArrived(connection->socket_, connection->buffer_)) {
+        if (connection->buffer_.size() > 0 && !exchange->headSent())
+            exchange->keepAlive_ = true; // see closeAfterAnswers()
+        watchForDisconnect(connection);
+        return;
+    }
     handlers_.onCallerGone_(exchange->token());
     exchange->onCallerGone();
 }
@@ -370,7 +393,7 @@
         std::make_shared<DirectExchange>(nextToken_++, connection, std::move(request), keepAlive);
     connection->currentExchange_ = exchange;
     handlers_.onRequest_(exchange);
-    if (!exchange->ended() && connection->buffer_.size() == 0)
+    if (!exchange->ended())
         watchForDisconnect(connection);
     while (!exchange->ended()) {
         boost::system::error_code ignored;
--- a/packages/server/tests/unit-direct_server.cpp
+++ b/packages/server/tests/unit-direct_server.cpp
@@ -307,15 +307,19 @@
 }
 
 BOOST_DATA_TEST_CASE(request_that_was_read_beside_an_earlier_one_is_answered_at_a_stop,
-                     data::make({true, false}), stopsFirst)
+                     data::make({true, false}) * data::make({true, false}), stopsFirst,
+                     sentTogether)
 {
     Fixture fixture;
     Caller caller(fixture.port_);
     if (stopsFirst)
         fixture.server_.closeAfterAnswers();
-    caller.send(request + request);
+    caller.send(sentTogether ? request + request : request);
     BOOST_REQUIRE(fixture.runUntil([&] { return fixture.exchanges_.size() == 1; }));
     fixture.server_.closeAfterAnswers();
+    if (!sentTogether)
+        caller.send(request);
+    fixture.runFor(settleTime);
     answerOk(fixture.exchanges_[0]);
     BOOST_REQUIRE(fixture.runUntil([&] { return fixture.exchanges_.size() == 2; }, seconds(1)));
     caller.receive();
@@ -385,4 +389,87 @@
     BOOST_TEST((BootClock::now() - connectedAt < oldLimit));
 }
 
+struct DisconnectRow
+{
+    const char *name_;
+    std::vector<std::string> furtherBytes_; ///< sent while the request is in progress
+    bool sameSegment_; ///< the first of them is sent together with the request
+    bool reset_; ///< the caller resets the connection
+};
+
+std::ostream &operator<<(std::ostream &out, const DisconnectRow &item)
+{
+    return out << item.name_;
+}
+
+const DisconnectRow disconnectRows[] = {
+    {"no further bytes", {}, false, false},
+    {"no further bytes, reset", {}, false, true},
+    {"part of the next request with the request", {head}, true, false},
+    {"part of the next request with the request, reset", {head}, true, true},
+    {"next request with the request, then more", {request, head}, true, false},
+    {"part of the next request later", {head}, false, false},
+    {"part of the next request later, reset", {head}, false, true},
+    {"next request in several parts", {head, "X-A: b\r\n", "\r\n"}, false, false},
+};
+
+BOOST_DATA_TEST_CASE(caller_that_disconnects_behind_further_bytes_is_noticed,
+                     data::make(disconnectRows), item)
+{
+    Fixture fixture;
+    Caller caller(fixture.port_);
+    std::string first = request;
+    auto next = item.furtherBytes_.begin();
+    if (item.sameSegment_)
+        first += *next++;
+    caller.send(first);
+    BOOST_REQUIRE(fixture.runUntil([&] { return fixture.exchanges_.size() == 1; }));
+    for (; next != item.furtherBytes_.end(); ++next) {
+        caller.send(*next);
+        fixture.runFor(settleTime);
+    }
+    BOOST_TEST(fixture.gone_.empty());
+    caller.leave(item.reset_);
+    BOOST_TEST(fixture.runUntil([&] { return !fixture.gone_.empty(); }, seconds(1)));
+    BOOST_TEST(fixture.gone_ == std::vector{fixture.exchanges_[0]->token()},
+               boost::test_tools::per_element());
+    BOOST_TEST(fixture.exchanges_[0]->ended());
+    BOOST_TEST(fixture.runUntil([&] { return fixture.server_.openConnections() == 0; }));
+    BOOST_TEST(fixture.exchanges_.size() == 1u);
+}
+
+BOOST_AUTO_TEST_CASE(requests_sent_ahead_are_answered_in_order)
+{
+    Fixture fixture;
+    Caller caller(fixture.port_);
+    caller.send(request + request.substr(0, 30));
+    BOOST_REQUIRE(fixture.runUntil([&] { return fixture.exchanges_.size() == 1; }));
+    caller.send(request.substr(30));
+    fixture.runFor(settleTime);
+    caller.send(request);
+    fixture.runFor(settleTime);
+    for (std::size_t i = 0; i < 3; ++i) {
+        BOOST_REQUIRE(fixture.runUntil([&] { return fixture.exchanges_.size() == i + 1; }));
+        fixture.exchanges_[i]->answer(answerHead, "answer " + std::to_string(i));
+        BOOST_TEST(fixture.runUntilReceived(caller, "answer " + std::to_string(i)));
+    }
+    BOOST_TEST(fixture.gone_.empty());
+}
+
+// The wait for a readable socket must not be repeated while unread bytes make it readable.
+BOOST_AUTO_TEST_CASE(caller_that_sends_far_ahead_causes_no_busy_loop)
+{
+    Fixture fixture;
+    Caller caller(fixture.port_);
+    caller.send(request);
+    BOOST_REQUIRE(fixture.runUntil([&] { return fixture.exchanges_.size() == 1; }));
+    caller.send(std::string(512u << 10, 'x'));
+    fixture.runFor(settleTime);
+    std::size_t handlers = 0;
+    const Instant startedAt = BootClock::now();
+    while (BootClock::now() - startedAt < settleTime)
+        handlers += fixture.context_.run_one_for(milliseconds(10));
+    BOOST_TEST(handlers <= 10u);
+}
+
 } // namespace
