Callers: a failed write of a stream reports the caller as gone, not the run as broken

Upstreams could be given a request once more for a caller that had left: where a write to the caller failed before the entry had noticed the disconnect, the run ended as broken, and a resumable stream was resumed at another upstream.

Cause: DirectExchange::stream() only returned false; nobody told the reducer why.

On the code before, failed_write_of_a_stream_reports_the_caller_as_gone_before_the_run_ends printed "check goneAtReturn.size() == 1u has failed [0 != 1]".

The exchange itself reports that its caller has gone, from a failed write as from the wait for a disconnect, before stream() returns. The reducer then stops the run, whose end isn't reported any more.

--- a/packages/server/include/chervilspring/detail/net/direct_server.hpp
+++ b/packages/server/include/chervilspring/detail/net/direct_server.hpp
@@ -73,13 +73,14 @@
     /// @param head as in answer(); empty if it was sent before
     /// @param bytes complete events
     /// @param last whether the stream ends after these bytes
-    /// @return false if the exchange has ended already or the caller is no longer reachable
+    /// @return false if the exchange has ended already or the caller is no longer reachable, which
+    /// was then reported by DirectHandlers::onCallerGone_
     boost::asio::awaitable<bool> stream(std::string head, std::string bytes, bool last);
 
     /// @brief Closes the connection so that the caller detects the truncated answer.
     void abort();
 
-    /// @brief Ends the exchange because the caller has closed the connection.
+    /// @brief Ends the exchange because the caller has closed the connection, and reports it.
     void onCallerGone();
 
 private:
@@ -88,6 +89,7 @@
     void end();
 
     std::uint64_t token_;
+    std::function<void()> onGone_; ///< called if the caller has disconnected before the end
     std::shared_ptr<CallerConnection> connection_;
     HttpRequest request_;
     bool keepAlive_;
--- a/packages/server/src/direct_server.cpp
+++ b/packages/server/src/direct_server.cpp
@@ -145,8 +145,10 @@
     boost::system::error_code error;
     co_await asio::async_write(connection->socket_, asio::buffer(text),
                                asio::redirect_error(use_awaitable, error));
-    if (error)
+    if (error) {
+        onCallerGone();
         co_return false;
+    }
     if (last) {
         boost::system::error_code ignored;
         if (!keepAlive_)
@@ -172,6 +174,8 @@
         return;
     keepAlive_ = false;
     end();
+    if (onGone_)
+        onGone_();
 }
 
 void DirectExchange::end()
@@ -378,7 +382,6 @@
         watchForDisconnect(connection);
         return;
     }
-    handlers_.onCallerGone_(exchange->token());
     exchange->onCallerGone();
 }
 
@@ -391,6 +394,7 @@
     const bool keepAlive = request.keep_alive() && !(closing_ && connection->buffer_.size() == 0);
     auto exchange =
         std::make_shared<DirectExchange>(nextToken_++, connection, std::move(request), keepAlive);
+    exchange->onGone_ = [this, token = exchange->token()] { handlers_.onCallerGone_(token); };
     connection->currentExchange_ = exchange;
     handlers_.onRequest_(exchange);
     if (!exchange->ended())
--- a/packages/server/tests/unit-direct_server.cpp
+++ b/packages/server/tests/unit-direct_server.cpp
@@ -472,4 +472,29 @@
     BOOST_TEST(handlers <= 10u);
 }
 
+// Otherwise the run counts as broken and may be repeated for a caller that has left.
+BOOST_AUTO_TEST_CASE(failed_write_of_a_stream_reports_the_caller_as_gone_before_the_run_ends)
+{
+    Fixture fixture;
+    Caller caller(fixture.port_);
+    caller.send(request);
+    BOOST_REQUIRE(fixture.runUntil([&] { return fixture.exchanges_.size() == 1; }));
+    std::vector<std::uint64_t> goneAtReturn;
+    bool returned = false;
+    bool reachable = true;
+    const auto stream = [&]() -> asio::awaitable<void> {
+        caller.leave(true);
+        reachable = co_await fixture.exchanges_[0]->stream(answerHead, "data: 1\n\n", false);
+        goneAtReturn = fixture.gone_;
+        returned = true;
+    };
+    asio::co_spawn(fixture.context_, stream, asio::detached);
+    BOOST_REQUIRE(fixture.runUntil([&] { return returned; }));
+    BOOST_TEST(!reachable);
+    BOOST_TEST(goneAtReturn.size() == 1u);
+    BOOST_TEST(fixture.exchanges_[0]->ended());
+    fixture.runFor(settleTime);
+    BOOST_TEST(fixture.gone_.size() == 1u);
+}
+
 } // namespace
