Callers: an answer is not destroyed by bytes that its caller is still sending

Callers whose request was refused before it was read completely (400, 413, 431) ran into a reset connection while they were sending, and the last answer of a connection was cut if the caller had sent more behind its request.

Cause: closing a socket with unread bytes resets the connection, and the reset discards what is still on its way to the caller. The other way round, the wait for a disconnect kept the socket of a finished connection open until the caller closed it, for as long as that took.

After its last answer the server ends its side and waits up to 1 s for the caller to close. The rest of a refused request is read and discarded meanwhile, up to twice the limit of a body. Bytes behind a complete request stay unread: they may be a request, and it must not look as if it had been read. Idle connections are closed at once, as before.

--- a/packages/server/include/chervilspring/detail/net/direct_server.hpp
+++ b/packages/server/include/chervilspring/detail/net/direct_server.hpp
@@ -16,6 +16,7 @@
     Idle, ///< no byte of the next request was read
     Reading, ///< part of a request was read
     Answering, ///< a request is in progress
+    Closing, ///< the last answer was sent
 };
 
 /// @brief A caller's connection. Shared with the run whose answer is written to it.
--- a/packages/server/src/direct_server.cpp
+++ b/packages/server/src/direct_server.cpp
@@ -25,6 +25,7 @@
 
 constexpr auto bodyReadTimeout = seconds(10);
 constexpr auto acceptRetryDelay = milliseconds(10);
+constexpr auto closeTimeout = seconds(1); // for a caller to receive the last answer and close
 constexpr std::size_t firstReadBytes = 4096; // of a request
 constexpr unsigned statusBadRequest = 400;
 constexpr unsigned statusBodyTooLarge = 413;
@@ -68,6 +69,37 @@
     return !error || error == asio::error::would_block || error == asio::error::try_again;
 }
 
+// Waits until the caller has closed its side of a connection on which the server has ended its
+// answers, or a time has passed: closing a socket with unread bytes resets the connection, which
+// destroys what the caller hasn't received yet.
+asio::awaitable<void> waitForClose(std::shared_ptr<CallerConnection> connection)
+{
+    boost::system::error_code error;
+    ReadDeadline deadline(connection, closeTimeout);
+    co_await connection->socket_.async_wait(tcp::socket::wait_read,
+                                            asio::redirect_error(use_awaitable, error));
+    if (!error && !isClosedByPeer(connection->socket_)) {
+        // The bytes belong to no request that is answered; they stay unread.
+        co_await connection->socket_.async_wait(tcp::socket::wait_error,
+                                                asio::redirect_error(use_awaitable, error));
+    }
+    deadline.disarm();
+}
+
+// Does the same for a caller that is still sending a request that is not read completely.
+asio::awaitable<void> discardUntilClose(std::shared_ptr<CallerConnection> connection,
+                                        std::size_t maxBytes)
+{
+    boost::system::error_code error;
+    std::string discarded(maxReadBytes, '\0');
+    std::size_t total = connection->buffer_.size();
+    ReadDeadline deadline(connection, closeTimeout);
+    while (!error && total < maxBytes)
+        total += co_await connection->socket_.async_read_some(
+            asio::buffer(discarded), asio::redirect_error(use_awaitable, error));
+    deadline.disarm();
+}
+
 std::string makeRefusal(unsigned status, nanoseconds retryAfter, const std::string &reason,
                         bool keepAlive)
 {
@@ -244,7 +276,9 @@
     return static_cast<std::size_t>(
         std::count_if(connections_.begin(), connections_.end(), [](const auto &item) {
             const auto connection = item.second.lock();
-            return connection && connection->phase_ != ConnectionPhase::Idle;
+            return connection
+                && (connection->phase_ == ConnectionPhase::Reading
+                    || connection->phase_ == ConnectionPhase::Answering);
         }));
 }
 
@@ -281,6 +315,7 @@
     }
     connections_.erase(connection.get());
     connection->socket_.shutdown(tcp::socket::shutdown_send, ignored);
+    connection->socket_.close(ignored); // a pending wait would keep it open
 }
 
 asio::awaitable<bool>
@@ -347,6 +382,9 @@
         const std::string text = makeRefusal(status, nanoseconds(0), "unreadable", false);
         co_await asio::async_write(connection->socket_, asio::buffer(text),
                                    asio::redirect_error(use_awaitable, error));
+        connection->phase_ = ConnectionPhase::Closing;
+        connection->socket_.shutdown(tcp::socket::shutdown_send, error);
+        co_await discardUntilClose(connection, 2 * std::size_t{limits_.bodyBytes_});
     }
     co_return false;
 }
@@ -404,7 +442,11 @@
         co_await connection->exchangeEndSignal_.async_wait(
             asio::redirect_error(use_awaitable, ignored));
     }
-    co_return exchange->keepAlive_ && connection->socket_.is_open();
+    if (exchange->keepAlive_ || !connection->socket_.is_open())
+        co_return connection->socket_.is_open();
+    connection->phase_ = ConnectionPhase::Closing;
+    co_await waitForClose(connection);
+    co_return false;
 }
 
 } // namespace chervilspring
--- a/packages/server/tests/unit-direct_server.cpp
+++ b/packages/server/tests/unit-direct_server.cpp
@@ -11,6 +11,7 @@
 #include <boost/test/unit_test.hpp>
 
 #include <atomic>
+#include <filesystem>
 #include <thread>
 
 namespace {
@@ -497,4 +498,85 @@
     BOOST_TEST(fixture.gone_.size() == 1u);
 }
 
+struct UnreadRow
+{
+    const char *name_;
+    std::string bytes_; ///< what the caller sends before it reads
+    std::string status_;
+    std::string answerEnd_; ///< last bytes of the answer
+};
+
+std::ostream &operator<<(std::ostream &out, const UnreadRow &item)
+{
+    return out << item.name_;
+}
+
+constexpr std::size_t smallBodyLimit = 1u << 20;
+
+const UnreadRow unreadRows[] = {
+    {"body over the limit", head + "Content-Length: 1500000\r\n\r\n" + std::string(1500000, 'x'),
+     "HTTP/1.1 413", "}"},
+    {"header over the limit", head + "X-A: " + std::string(900000, 'x') + "\r\n\r\n",
+     "HTTP/1.1 431", "}"},
+    {"not a request, and more", "nonsense\r\n\r\n" + std::string(900000, 'x'), "HTTP/1.1 400", "}"},
+    {"last request of the connection, and more",
+     head + "Connection: close\r\nContent-Length: 4\r\n\r\nbody" + std::string(60000, 'x'),
+     "HTTP/1.1 200", "last bytes"},
+};
+
+// Closing a socket with unread bytes resets the connection, which destroys an answer on its way.
+BOOST_DATA_TEST_CASE(answer_is_not_destroyed_by_unread_bytes_of_its_caller, data::make(unreadRows),
+                     item)
+{
+    const std::string body = std::string(1u << 20, 'x') + "last bytes";
+    Fixture fixture;
+    fixture.onRequest_ = [&](const DirectExchangePointer &exchange) {
+        exchange->answer(answerHead, body);
+        fixture.exchanges_.clear(); // a reference would keep the socket open
+    };
+    fixture.limits_.bodyBytes_ = smallBodyLimit;
+    fixture.server_.setLimits(fixture.limits_);
+    std::string received;
+    boost::system::error_code writeError;
+    boost::system::error_code readError;
+    std::atomic<bool> done = false;
+    std::thread caller([&] {
+        asio::io_context context;
+        tcp::socket socket(context);
+        socket.connect({asio::ip::make_address("127.0.0.1"), fixture.port_});
+        asio::write(socket, asio::buffer(item.bytes_), writeError);
+        std::this_thread::sleep_for(milliseconds(100)); // a caller that is slow to read
+        asio::read(socket, asio::dynamic_buffer(received), readError);
+        done = true;
+    });
+    fixture.runUntil([&] { return done.load(); });
+    caller.join();
+    BOOST_TEST(writeError.message() == "Success");
+    BOOST_TEST(readError.message() == "End of file");
+    BOOST_TEST(received.starts_with(item.status_), received.substr(0, 100));
+    BOOST_TEST(received.ends_with(item.answerEnd_), received.size() << " bytes received");
+}
+
+std::ptrdiff_t openDescriptors()
+{
+    const std::filesystem::directory_iterator descriptors("/proc/self/fd");
+    return std::distance(begin(descriptors), end(descriptors));
+}
+
+BOOST_AUTO_TEST_CASE(connection_of_a_caller_that_does_not_close_is_released)
+{
+    Fixture fixture;
+    Caller caller(fixture.port_);
+    const std::ptrdiff_t descriptorsBefore = openDescriptors();
+    caller.send(head + "Connection: close\r\n\r\n");
+    BOOST_REQUIRE(fixture.runUntil([&] { return fixture.exchanges_.size() == 1; }));
+    fixture.runFor(settleTime);
+    BOOST_TEST(openDescriptors() == descriptorsBefore + 1);
+    answerOk(fixture.exchanges_[0]);
+    fixture.exchanges_.clear();
+    BOOST_REQUIRE(fixture.runUntilReceived(caller, "done"));
+    BOOST_TEST(fixture.runUntil([&] { return fixture.server_.openConnections() == 0; }));
+    BOOST_TEST(openDescriptors() == descriptorsBefore);
+}
+
 } // namespace
