Callers: requests that arrived while the entry was paused are read, late ones are refused as not run

Callers of an entry that was paused or busy for longer than the rest of a read limit got their connection closed although their request had arrived; those whose request was really late got it closed without a word, after which a request that must not run twice can't be repeated.

Cause: with more than 128 ready sockets, the event loop takes them up in several turns, and timers that have expired cancel the reads on the sockets whose turn hasn't come. A request that wasn't complete in time got no answer at all.

A read that its deadline has cancelled goes on as long as bytes are there. If the request is still incomplete, it is answered 408, which promises that it wasn't run. An idle connection is still closed without an answer.

--- a/packages/server/src/direct_server.cpp
+++ b/packages/server/src/direct_server.cpp
@@ -28,6 +28,7 @@
 constexpr auto closeTimeout = seconds(1); // for a caller to receive the last answer and close
 constexpr std::size_t firstReadBytes = 4096; // of a request
 constexpr unsigned statusBadRequest = 400;
+constexpr unsigned statusRequestTimeout = 408; // like 503, tells that the request was not run
 constexpr unsigned statusBodyTooLarge = 413;
 constexpr unsigned statusHeaderTooLarge = 431;
 
@@ -69,6 +70,24 @@
     return !error || error == asio::error::would_block || error == asio::error::try_again;
 }
 
+// Runs a step of reading until a deadline. What has arrived by then is still read: if this process
+// was paused, it sees the end of the time before the bytes.
+template<typename Step>
+asio::awaitable<void> readInTime(std::shared_ptr<CallerConnection> connection, nanoseconds timeout,
+                                 Step step, boost::system::error_code &error)
+{
+    ReadDeadline deadline(connection, timeout);
+    co_await step();
+    deadline.disarm();
+    boost::system::error_code ignored;
+    while (error == asio::error::operation_aborted && connection->socket_.available(ignored) > 0) {
+        error = {};
+        ReadDeadline expired(connection, nanoseconds(0));
+        co_await step();
+        expired.disarm();
+    }
+}
+
 // Waits until the caller has closed its side of a connection on which the server has ended its
 // answers, or a time has passed: closing a socket with unread bytes resets the connection, which
 // destroys what the caller hasn't received yet.
@@ -354,21 +373,24 @@
     parser.header_limit(limits_.headerBytes_);
     parser.body_limit(limits_.bodyBytes_);
     boost::system::error_code error;
-    ReadDeadline headerDeadline(connection, limits_.headerTime_);
     MessageSize messageSize;
-    co_await readHead(connection->socket_, buffer, parser, messageSize, error);
-    headerDeadline.disarm();
-    if (!error && !parser.is_done()) {
-        ReadDeadline bodyDeadline(connection, bodyReadTimeout);
-        co_await readBody(connection->socket_, buffer, parser, messageSize, error);
-        bodyDeadline.disarm();
-    }
+    const auto head = [&] {
+        return readHead(connection->socket_, buffer, parser, messageSize, error);
+    };
+    const auto body = [&] {
+        return readBody(connection->socket_, buffer, parser, messageSize, error);
+    };
+    co_await readInTime(connection, limits_.headerTime_, head, error);
+    if (!error && !parser.is_done())
+        co_await readInTime(connection, bodyReadTimeout, body, error);
     if (!error) {
         request = parser.release();
         co_return true;
     }
     unsigned status = 0;
-    if (error == http::error::body_limit)
+    if (error == asio::error::operation_aborted)
+        status = statusRequestTimeout;
+    else if (error == http::error::body_limit)
         status = statusBodyTooLarge;
     else if (error == http::error::header_limit)
         status = statusHeaderTooLarge;
@@ -377,8 +399,8 @@
         status = statusBadRequest;
     if (status != 0) {
         writeLog(LogLevel::Info,
-                 "decision=end outcome=unreadable status=" + std::to_string(status)
-                     + " detail=" + error.message());
+                 "decision=end outcome=unreadable status=" + std::to_string(status) + " detail="
+                     + (status == statusRequestTimeout ? "incomplete in time" : error.message()));
         const std::string text = makeRefusal(status, nanoseconds(0), "unreadable", false);
         co_await asio::async_write(connection->socket_, asio::buffer(text),
                                    asio::redirect_error(use_awaitable, error));
--- a/packages/server/tests/unit-direct_server.cpp
+++ b/packages/server/tests/unit-direct_server.cpp
@@ -11,6 +11,7 @@
 #include <boost/test/unit_test.hpp>
 
 #include <atomic>
+#include <deque>
 #include <filesystem>
 #include <thread>
 
@@ -579,4 +580,74 @@
     BOOST_TEST(openDescriptors() == descriptorsBefore);
 }
 
+struct PauseRow
+{
+    const char *name_;
+    milliseconds idleTime_;
+    milliseconds headerTime_;
+    std::string beforePause_;
+    std::string afterPause_; ///< sent after the deadline, but before the server continues
+};
+
+std::ostream &operator<<(std::ostream &out, const PauseRow &item)
+{
+    return out << item.name_;
+}
+
+const PauseRow pauseRows[] = {
+    {"idle connections", shortLimit, waitLimit, "", request},
+    {"half of a head", waitLimit, shortLimit, request.substr(0, 10), request.substr(10)},
+};
+
+// With that many sockets, timers expire before all of them were looked at.
+BOOST_DATA_TEST_CASE(requests_that_arrived_while_the_server_was_paused_are_read,
+                     data::make(pauseRows), item)
+{
+    constexpr std::size_t callerCount = 300;
+    Fixture fixture(item.idleTime_, item.headerTime_);
+    fixture.onRequest_ = answerOk;
+    std::deque<Caller> callers;
+    for (std::size_t i = 0; i < callerCount; ++i)
+        callers.emplace_back(fixture.port_).send(item.beforePause_);
+    fixture.runFor(settleTime);
+    BOOST_REQUIRE_EQUAL(fixture.server_.openConnections(), callerCount);
+    Fixture::pause(shortLimit);
+    for (Caller &caller : callers)
+        caller.send(item.afterPause_);
+    fixture.runUntil([&] { return fixture.exchanges_.size() == callerCount; }, seconds(1));
+    BOOST_TEST(fixture.exchanges_.size() == callerCount);
+}
+
+struct TimeoutRow
+{
+    const char *name_;
+    std::string bytes_;
+    std::string answer_; ///< beginning of the answer; empty: none
+};
+
+std::ostream &operator<<(std::ostream &out, const TimeoutRow &item)
+{
+    return out << item.name_;
+}
+
+const TimeoutRow timeoutRows[] = {
+    {"no byte of a request", "", ""},
+    {"part of a head", request.substr(0, 10), "HTTP/1.1 408"},
+};
+
+BOOST_DATA_TEST_CASE(request_that_is_not_complete_in_time_is_refused_as_not_run,
+                     data::make(timeoutRows), item)
+{
+    Fixture fixture(milliseconds(50), milliseconds(50));
+    Caller caller(fixture.port_);
+    caller.send(item.bytes_);
+    BOOST_TEST(fixture.runUntil([&] {
+        caller.receive();
+        return caller.closed_;
+    }));
+    BOOST_TEST(caller.received_.substr(0, item.answer_.size()) == item.answer_);
+    BOOST_TEST(caller.received_.empty() == item.answer_.empty());
+    BOOST_TEST(fixture.exchanges_.empty());
+}
+
 } // namespace
