--- a/packages/server/include/chervilspring/detail/net/direct_server.hpp
+++ b/packages/server/include/chervilspring/detail/net/direct_server.hpp
@@ -11,6 +11,14 @@
 
 class DirectExchange;
 
+/// @brief What happens on a caller's connection.
+enum class ConnectionPhase {
+    Idle, ///< no byte of the next request was read
+    Reading, ///< part of a request was read
+    Answering, ///< a request is in progress
+    Closing, ///< the last answer was sent
+};
+
 /// @brief A caller's connection. Shared with the run whose answer is written to it.
 struct CallerConnection
 {
@@ -21,8 +29,12 @@
     }
 
     boost::asio::ip::tcp::socket socket_;
+    boost::beast::flat_buffer buffer_; ///< bytes that were read but not parsed yet
+    ConnectionPhase phase_ = ConnectionPhase::Idle;
     boost::asio::steady_timer exchangeEndSignal_; ///< cancelled when currentExchange_ ends
     bool readWaitPending_ = false; ///< a wait until the socket is readable is pending
+    std::uint64_t lastDeadline_ = 0; ///< number of the latest deadline for reading
+    std::uint64_t armedDeadline_ = 0; ///< number of the deadline in force; 0: none
     std::weak_ptr<DirectExchange> currentExchange_; ///< the exchange in progress
 };
 
@@ -62,13 +74,14 @@
     /// @param head as in answer(); empty if it was sent before
     /// @param bytes complete events
     /// @param last whether the stream ends after these bytes
-    /// @return false if the exchange has ended already or the caller is no longer reachable
+    /// @return false if the exchange has ended already or the caller is no longer reachable, which
+    /// was then reported by DirectHandlers::onCallerGone_
     boost::asio::awaitable<bool> stream(std::string head, std::string bytes, bool last);
 
     /// @brief Closes the connection so that the caller detects the truncated answer.
     void abort();
 
-    /// @brief Ends the exchange because the caller has closed the connection.
+    /// @brief Ends the exchange because the caller has closed the connection, and reports it.
     void onCallerGone();
 
 private:
@@ -77,6 +90,7 @@
     void end();
 
     std::uint64_t token_;
+    std::function<void()> onGone_; ///< called if the caller has disconnected before the end
     std::shared_ptr<CallerConnection> connection_;
     HttpRequest request_;
     bool keepAlive_;
@@ -102,48 +116,61 @@
     DirectServer(boost::asio::io_context &context, DirectHandlers handlers);
 
     /// @brief Starts accepting connections.
+    /// @param endpoint address and port; port 0 stands for any free port
+    /// @return the port that was bound
     /// @throws boost::system::system_error if the port cannot be bound
-    void listen(const boost::asio::ip::tcp::endpoint &endpoint);
-
-    /// @brief Sets the limits for requests that are read from now on.
-    void setLimits(const CallerLimits &limits) { limits_ = limits; }
-
-    /// @brief Makes answers to further requests announce that the connection closes after them.
-    void closeAfterAnswers() { closing_ = true; }
-
-    /// @brief Stops accepting and closes connections on which no request is in progress. The others
-    /// close after their answer.
+    std::uint16_t listen(const boost::asio::ip::tcp::endpoint &endpoint);
+
+    /// @brief Sets the limits for requests that begin to arrive from now on.
+    ///
+    /// A longer idle time holds for connections that are idle already. A shorter one is applied
+    /// once the previous one has passed, since callers may learn of the change later than this
+    /// server.
+    void setLimits(const CallerLimits &limits);
+
+    /// @brief Makes answers that have not begun announce that the connection closes after them.
+    ///
+    /// Where a further request was read already, the answer to that one announces it.
+    void closeAfterAnswers();
+
+    /// @brief Stops accepting and closes idle connections. The others close after their answer.
+    ///
+    /// A request of which a byte has arrived is still read and handed to the owner.
     void stop();
 
-    /// @brief Returns the number of connections with a request in progress.
-    std::size_t busyConnections() const { return busyConnections_; }
+    /// @brief Returns the number of connections with a request in progress, read completely or not.
+    std::size_t busyConnections() const;
 
     /// @brief Returns the number of open connections.
-    std::size_t openConnections() const { return openConnections_; }
+    std::size_t openConnections() const { return connections_.size(); }
 
 private:
     boost::asio::awaitable<void> acceptLoop();
     boost::asio::awaitable<void> serve(std::shared_ptr<CallerConnection> connection);
     /// Serves one request. Returns whether the connection stays open for another one.
-    boost::asio::awaitable<bool> serveOne(const std::shared_ptr<CallerConnection> &connection,
-                                          boost::beast::flat_buffer &buffer);
+    boost::asio::awaitable<bool> serveOne(const std::shared_ptr<CallerConnection> &connection);
+    /// Returns how long a connection may be idle.
+    nanoseconds idleTime() const;
+    /// Waits for the first byte of a request. Returns false if the connection must be closed.
+    boost::asio::awaitable<bool>
+    waitForRequest(const std::shared_ptr<CallerConnection> &connection);
     /// Reads one request. Returns false if none could be read; the connection must be closed then.
     boost::asio::awaitable<bool> readRequest(const std::shared_ptr<CallerConnection> &connection,
-                                             boost::beast::flat_buffer &buffer,
                                              HttpRequest &request);
+    /// Detects that the caller disconnects while its request is in progress.
     void watchForDisconnect(const std::shared_ptr<CallerConnection> &connection);
-    void onReadable(CallerConnection &connection);
+    void onReadable(const std::shared_ptr<CallerConnection> &connection);
 
     boost::asio::io_context &context_;
     DirectHandlers handlers_;
     CallerLimits limits_;
+    bool limitsSet_ = false; ///< setLimits() was called
+    nanoseconds previousIdleTime_{0}; ///< idle time before the latest change
+    Instant idleTimeChangedAt_{}; ///< when limits_.idleTime_ changed last
     boost::asio::ip::tcp::acceptor acceptor_;
-    /// Connections whose next request has not been received completely.
-    std::map<CallerConnection *, std::weak_ptr<CallerConnection>> idleConnections_;
+    std::map<CallerConnection *, std::weak_ptr<CallerConnection>> connections_; ///< open ones
     std::uint64_t nextToken_ = 1; ///< token of the next exchange
-    std::size_t busyConnections_ = 0;
-    std::size_t openConnections_ = 0;
-    bool closing_ = false; ///< answers to further requests close their connection
+    bool closing_ = false; ///< closeAfterAnswers() was called
     bool stopped_ = false; ///< stop() was called
 };
 
--- a/packages/server/src/direct_server.cpp
+++ b/packages/server/src/direct_server.cpp
@@ -10,6 +10,7 @@
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
 
+#include <algorithm>
 #include <cstdio>
 
 namespace chervilspring {
@@ -24,7 +25,10 @@
 
 constexpr auto bodyReadTimeout = seconds(10);
 constexpr auto acceptRetryDelay = milliseconds(10);
+constexpr auto closeTimeout = seconds(1); // for a caller to receive the last answer and close
+constexpr std::size_t firstReadBytes = 4096; // of a request
 constexpr unsigned statusBadRequest = 400;
+constexpr unsigned statusRequestTimeout = 408; // like 503, tells that the request was not run
 constexpr unsigned statusBodyTooLarge = 413;
 constexpr unsigned statusHeaderTooLarge = 431;
 
@@ -33,21 +37,88 @@
 {
 public:
     ReadDeadline(std::shared_ptr<CallerConnection> connection, nanoseconds timeout)
-        : timer_(connection->socket_.get_executor(), timeout)
+        : connection_(std::move(connection)), timer_(connection_->socket_.get_executor(), timeout)
     {
-        timer_.async_wait([connection](boost::system::error_code error) {
+        const std::uint64_t number = ++connection_->lastDeadline_;
+        connection_->armedDeadline_ = number;
+        timer_.async_wait([connection = connection_, number](boost::system::error_code error) {
             boost::system::error_code ignored;
-            if (!error)
+            if (!error && connection->armedDeadline_ == number)
                 connection->socket_.cancel(ignored);
         });
     }
 
-    void disarm() { timer_.cancel(); }
+    // The number tells the handler of a timer that had already expired, which can't be cancelled.
+    void disarm()
+    {
+        connection_->armedDeadline_ = 0;
+        timer_.cancel();
+    }
 
 private:
+    std::shared_ptr<CallerConnection> connection_;
     asio::steady_timer timer_;
 };
 
+// Reads what has arrived, up to a limit. Returns false if the peer has closed the connection.
+bool readArrived(tcp::socket &socket, beast::flat_buffer &buffer)
+{
+    boost::system::error_code error;
+    socket.non_blocking(true, error);
+    const std::size_t room = maxUnparsedBytes - std::min(maxUnparsedBytes, buffer.size());
+    buffer.commit(socket.read_some(buffer.prepare(std::min(room, firstReadBytes)), error));
+    return !error || error == asio::error::would_block || error == asio::error::try_again;
+}
+
+// Runs a step of reading until a deadline. What has arrived by then is still read: if this process
+// was paused, it sees the end of the time before the bytes.
+template<typename Step>
+asio::awaitable<void> readInTime(std::shared_ptr<CallerConnection> connection, nanoseconds timeout,
+                                 Step step, boost::system::error_code &error)
+{
+    ReadDeadline deadline(connection, timeout);
+    co_await step();
+    deadline.disarm();
+    boost::system::error_code ignored;
+    while (error == asio::error::operation_aborted && connection->socket_.available(ignored) > 0) {
+        error = {};
+        ReadDeadline expired(connection, nanoseconds(0));
+        co_await step();
+        expired.disarm();
+    }
+}
+
+// Waits until the caller has closed its side of a connection on which the server has ended its
+// answers, or a time has passed: closing a socket with unread bytes resets the connection, which
+// destroys what the caller hasn't received yet.
+asio::awaitable<void> waitForClose(std::shared_ptr<CallerConnection> connection)
+{
+    boost::system::error_code error;
+    ReadDeadline deadline(connection, closeTimeout);
+    co_await connection->socket_.async_wait(tcp::socket::wait_read,
+                                            asio::redirect_error(use_awaitable, error));
+    if (!error && !isClosedByPeer(connection->socket_)) {
+        // The bytes belong to no request that is answered; they stay unread.
+        co_await connection->socket_.async_wait(tcp::socket::wait_error,
+                                                asio::redirect_error(use_awaitable, error));
+    }
+    deadline.disarm();
+}
+
+// Does the same for a caller that is still sending a request that is not read completely.
+asio::awaitable<void> discardUntilClose(std::shared_ptr<CallerConnection> connection,
+                                        std::size_t maxBytes)
+{
+    boost::system::error_code error;
+    std::string discarded(maxReadBytes, '\0');
+    std::size_t total = connection->buffer_.size();
+    ReadDeadline deadline(connection, closeTimeout);
+    while (!error && total < maxBytes)
+        total += co_await connection->socket_.async_read_some(
+            asio::buffer(discarded), asio::redirect_error(use_awaitable, error));
+    deadline.disarm();
+}
+
 std::string makeRefusal(unsigned status, nanoseconds retryAfter, const std::string &reason,
                         bool keepAlive)
 {
@@ -125,8 +196,10 @@
     boost::system::error_code error;
     co_await asio::async_write(connection->socket_, asio::buffer(text),
                                asio::redirect_error(use_awaitable, error));
-    if (error)
+    if (error) {
+        onCallerGone();
         co_return false;
+    }
     if (last) {
         boost::system::error_code ignored;
         if (!keepAlive_)
@@ -152,6 +225,8 @@
         return;
     keepAlive_ = false;
     end();
+    if (onGone_)
+        onGone_();
 }
 
 void DirectExchange::end()
@@ -164,13 +239,42 @@
     : context_(context), handlers_(std::move(handlers)), acceptor_(context)
 { }
 
-void DirectServer::listen(const tcp::endpoint &endpoint)
+std::uint16_t DirectServer::listen(const tcp::endpoint &endpoint)
 {
     acceptor_.open(endpoint.protocol());
     acceptor_.set_option(tcp::acceptor::reuse_address(true));
     acceptor_.bind(endpoint);
     acceptor_.listen();
     asio::co_spawn(context_, acceptLoop(), asio::detached);
+    return acceptor_.local_endpoint().port();
+}
+
+void DirectServer::setLimits(const CallerLimits &limits)
+{
+    if (limitsSet_ && limits.idleTime_ != limits_.idleTime_) {
+        previousIdleTime_ = idleTime();
+        idleTimeChangedAt_ = BootClock::now();
+    }
+    limits_ = limits;
+    limitsSet_ = true;
+}
+
+nanoseconds DirectServer::idleTime() const
+{
+    const bool changedRecently = BootClock::now() - idleTimeChangedAt_ < previousIdleTime_;
+    return changedRecently ? std::max<nanoseconds>(previousIdleTime_, limits_.idleTime_)
+                           : limits_.idleTime_;
+}
+
+void DirectServer::closeAfterAnswers()
+{
+    closing_ = true;
+    for (const auto &[key, weak] : connections_) {
+        const auto connection = weak.lock();
+        const auto exchange = connection ? connection->currentExchange_.lock() : nullptr;
+        if (exchange && !exchange->headSent() && connection->buffer_.size() == 0)
+            exchange->keepAlive_ = false;
+    }
 }
 
 void DirectServer::stop()
@@ -179,12 +283,24 @@
     closing_ = true;
     boost::system::error_code ignored;
     acceptor_.close(ignored);
-    for (const auto &[key, weak] : idleConnections_) {
-        if (const auto connection = weak.lock())
+    for (const auto &[key, weak] : connections_) {
+        const auto connection = weak.lock();
+        if (connection && connection->phase_ == ConnectionPhase::Idle)
             connection->socket_.cancel(ignored);
     }
 }
 
+std::size_t DirectServer::busyConnections() const
+{
+    return static_cast<std::size_t>(
+        std::count_if(connections_.begin(), connections_.end(), [](const auto &item) {
+            const auto connection = item.second.lock();
+            return connection
+                && (connection->phase_ == ConnectionPhase::Reading
+                    || connection->phase_ == ConnectionPhase::Answering);
+        }));
+}
+
 asio::awaitable<void> DirectServer::acceptLoop()
 {
     while (!stopped_) {
@@ -208,51 +324,73 @@
 
 asio::awaitable<void> DirectServer::serve(std::shared_ptr<CallerConnection> connection)
 {
-    ++openConnections_;
-    beast::flat_buffer buffer;
+    connections_[connection.get()] = connection;
     boost::system::error_code ignored;
     connection->socket_.set_option(tcp::no_delay(true), ignored);
     try {
-        while (co_await serveOne(connection, buffer)) { }
+        while (co_await serveOne(connection)) { }
     } catch (const std::exception &error) {
         writeLog(LogLevel::Debug, std::string("caller connection ended reason=") + error.what());
     }
-    idleConnections_.erase(connection.get());
-    --openConnections_;
+    connections_.erase(connection.get());
     connection->socket_.shutdown(tcp::socket::shutdown_send, ignored);
+    connection->socket_.close(ignored); // a pending wait would keep it open
+}
+
+asio::awaitable<bool>
+DirectServer::waitForRequest(const std::shared_ptr<CallerConnection> &connection)
+{
+    beast::flat_buffer &buffer = connection->buffer_;
+    const Instant idleSince = BootClock::now();
+    Instant idleUntil = idleSince + idleTime();
+    while (buffer.size() == 0) {
+        connection->phase_ = ConnectionPhase::Idle;
+        boost::system::error_code error;
+        ReadDeadline deadline(connection, stopped_ ? nanoseconds(0) : idleUntil - BootClock::now());
+        buffer.commit(co_await connection->socket_.async_read_some(
+            buffer.prepare(firstReadBytes), asio::redirect_error(use_awaitable, error)));
+        deadline.disarm();
+        if (error && error != asio::error::operation_aborted)
+            co_return false; // closed by the caller
+        idleUntil = std::max(idleUntil, idleSince + idleTime());
+        // Bytes that arrived before the read was cancelled belong to a request.
+        const bool expired = stopped_ || BootClock::now() >= idleUntil;
+        if (error && expired && connection->socket_.available(error) == 0)
+            co_return false;
+    }
+    connection->phase_ = ConnectionPhase::Reading;
+    co_return true;
 }
 
 asio::awaitable<bool> DirectServer::readRequest(const std::shared_ptr<CallerConnection> &connection,
-                                                beast::flat_buffer &buffer, HttpRequest &request)
+                                                HttpRequest &request)
 {
+    if (!co_await waitForRequest(connection))
+        co_return false;
+    beast::flat_buffer &buffer = connection->buffer_;
+    buffer.max_size(std::max<std::size_t>(maxUnparsedBytes, 2 * limits_.headerBytes_));
     http::request_parser<http::string_body> parser;
     parser.header_limit(limits_.headerBytes_);
-    buffer.max_size(std::max<std::size_t>(maxUnparsedBytes, 2 * limits_.headerBytes_));
     parser.body_limit(limits_.bodyBytes_);
     boost::system::error_code error;
-    if (buffer.size() == 0) {
-        ReadDeadline idleDeadline(connection, limits_.idleTime_);
-        buffer.commit(co_await connection->socket_.async_read_some(
-            buffer.prepare(4096), asio::redirect_error(use_awaitable, error)));
-        idleDeadline.disarm();
-        if (error)
-            co_return false; // closed by the caller, or idle for too long
-    }
-    ReadDeadline headerDeadline(connection, limits_.headerTime_);
     MessageSize messageSize;
-    co_await readHead(connection->socket_, buffer, parser, messageSize, error);
-    headerDeadline.disarm();
-    if (!error && !parser.is_done()) {
-        ReadDeadline bodyDeadline(connection, bodyReadTimeout);
-        co_await readBody(connection->socket_, buffer, parser, messageSize, error);
-        bodyDeadline.disarm();
-    }
+    const auto head = [&] {
+        return readHead(connection->socket_, buffer, parser, messageSize, error);
+    };
+    const auto body = [&] {
+        return readBody(connection->socket_, buffer, parser, messageSize, error);
+    };
+    co_await readInTime(connection, limits_.headerTime_, head, error);
+    if (!error && !parser.is_done())
+        co_await readInTime(connection, bodyReadTimeout, body, error);
     if (!error) {
         request = parser.release();
         co_return true;
     }
     unsigned status = 0;
-    if (error == http::error::body_limit)
+    if (error == asio::error::operation_aborted)
+        status = statusRequestTimeout;
+    else if (error == http::error::body_limit)
         status = statusBodyTooLarge;
     else if (error == http::error::header_limit)
         status = statusHeaderTooLarge;
@@ -261,63 +399,76 @@
         status = statusBadRequest;
     if (status != 0) {
         writeLog(LogLevel::Info,
-                 "decision=end outcome=unreadable status=" + std::to_string(status)
-                     + " detail=" + error.message());
+                 "decision=end outcome=unreadable status=" + std::to_string(status) + " detail="
+                     + (status == statusRequestTimeout ? "incomplete in time" : error.message()));
         const std::string text = makeRefusal(status, nanoseconds(0), "unreadable", false);
         co_await asio::async_write(connection->socket_, asio::buffer(text),
                                    asio::redirect_error(use_awaitable, error));
+        connection->phase_ = ConnectionPhase::Closing;
+        connection->socket_.shutdown(tcp::socket::shutdown_send, error);
+        co_await discardUntilClose(connection, 2 * std::size_t{limits_.bodyBytes_});
     }
     co_return false;
 }
 
-// Detects that the caller disconnects while its request is in progress.
 void DirectServer::watchForDisconnect(const std::shared_ptr<CallerConnection> &connection)
 {
-    if (connection->readWaitPending_)
+    // Behind that many unread bytes a disconnect is noticed when the answer is written.
+    const bool full = connection->buffer_.size() >= maxUnparsedBytes;
+    if (full || connection->readWaitPending_)
         return;
     connection->readWaitPending_ = true;
     connection->socket_.async_wait(tcp::socket::wait_read,
                                    [this, connection](boost::system::error_code) {
                                        connection->readWaitPending_ = false;
-                                       onReadable(*connection);
+                                       onReadable(connection);
                                    });
 }
 
-void DirectServer::onReadable(CallerConnection &connection)
+void DirectServer::onReadable(const std::shared_ptr<CallerConnection> &connection)
 {
-    const auto exchange = connection.currentExchange_.lock();
-    if (!exchange || exchange->ended() || !isClosedByPeer(connection.socket_))
-        return; // no request is in progress, or the bytes belong to the next one
-    handlers_.onCallerGone_(exchange->token());
+    const auto exchange = connection->currentExchange_.lock();
+    if (!exchange || exchange->ended())
+        return; // readRequest() reads
+    // A disconnect behind bytes of further requests can't be seen before they are read. If the
+    // connection closes after this answer, they stay unread, so that they may be sent again.
+    const bool closes =
+        !exchange->request().keep_alive() || (exchange->headSent() && !exchange->keepAlive_);
+    if (closes && !isClosedByPeer(connection->socket_))
+        return;
+    if (!closes && readArrived(connection->socket_, connection->buffer_)) {
+        if (connection->buffer_.size() > 0 && !exchange->headSent())
+            exchange->keepAlive_ = true; // see closeAfterAnswers()
+        watchForDisconnect(connection);
+        return;
+    }
     exchange->onCallerGone();
 }
 
-asio::awaitable<bool> DirectServer::serveOne(const std::shared_ptr<CallerConnection> &connection,
-                                             beast::flat_buffer &buffer)
+asio::awaitable<bool> DirectServer::serveOne(const std::shared_ptr<CallerConnection> &connection)
 {
-    if (stopped_ && buffer.size() == 0)
-        co_return false;
-    idleConnections_[connection.get()] = connection;
     HttpRequest request;
-    const bool complete = co_await readRequest(connection, buffer, request);
-    idleConnections_.erase(connection.get());
-    if (!complete)
+    if (!co_await readRequest(connection, request))
         co_return false;
-    const bool keepAlive = request.keep_alive() && !closing_;
+    connection->phase_ = ConnectionPhase::Answering;
+    const bool keepAlive = request.keep_alive() && !(closing_ && connection->buffer_.size() == 0);
     auto exchange =
         std::make_shared<DirectExchange>(nextToken_++, connection, std::move(request), keepAlive);
-    ++busyConnections_;
+    exchange->onGone_ = [this, token = exchange->token()] { handlers_.onCallerGone_(token); };
     connection->currentExchange_ = exchange;
     handlers_.onRequest_(exchange);
-    if (!exchange->ended() && buffer.size() == 0)
+    if (!exchange->ended())
         watchForDisconnect(connection);
     while (!exchange->ended()) {
         boost::system::error_code ignored;
         co_await connection->exchangeEndSignal_.async_wait(
             asio::redirect_error(use_awaitable, ignored));
     }
-    --busyConnections_;
-    co_return exchange->keepAlive_ && connection->socket_.is_open();
+    if (exchange->keepAlive_ || !connection->socket_.is_open())
+        co_return connection->socket_.is_open();
+    connection->phase_ = ConnectionPhase::Closing;
+    co_await waitForClose(connection);
+    co_return false;
 }
 
 } // namespace chervilspring
