Tell the reducer that a response begins before its first bytes are written

What callers saw: a caller that reads slowly got the head and some events of a stream and then nothing, neither bytes nor the end of the connection. The log gave the request as ended by its timeout, and the connection counted as busy until the process stopped. In a narrower window, when events were read in the same turn of the event loop in which the timeout fired, the events followed the refusal on the connection: bytes that are no response.

Cause: two places knew whether the response had begun. DirectExchange set headSent_ before a write, the reducer learnt of it by RunStarted after the write had ended. In between it decided RefuseCall, and refuse() returned without writing, closing or ending the exchange. The other way round, stream() wrote to an exchange whose refusal was still being written.

Now RunStarted is reported before the first bytes are written, so that a timeout during the write is an AbortCall. The exchange keeps one phase: refuse() and answer() after the start of a response close the connection, stream() after a refusal writes nothing. Effects that cannot be carried out are logged as decision=unapplied and counted in unapplied_effects_total{effect}; cut responses in responses_cut_total.

--- a/packages/decision/include/chervilspring/detail/direct/direct.hpp
+++ b/packages/decision/include/chervilspring/detail/direct/direct.hpp
@@ -58,7 +58,7 @@
     std::string detail_; ///< text for the log
 };
 
-/// @brief Event: the first event of a stream was sent to the caller.
+/// @brief Event: the first event of a run is about to be sent to the caller.
 struct RunStarted
 {
     std::uint64_t token_ = 0; ///< token of the request
@@ -178,7 +178,7 @@
     std::uint32_t priority_ = 0; ///< 0 is first
     std::uint64_t digest_ = 0; ///< digest of account, path and body; crashes are counted by it
     DirectPhase phase_ = DirectPhase::Planning;
-    bool responseStarted_ = false; ///< part of the response was sent to the caller
+    bool responseStarted_ = false; ///< part of the response was sent or is being sent
     Instant arrivedAt_{};
     Instant deadlineAt_{}; ///< the caller's deadline or the route's timeout, whichever is earlier
     std::uint32_t attempt_ = 0; ///< number of the latest run; 0: none
--- a/packages/decision/include/chervilspring/detail/direct/direct_steps.hpp
+++ b/packages/decision/include/chervilspring/detail/direct/direct_steps.hpp
@@ -90,7 +90,7 @@
 /// @brief Handles the end of a run: finishes the request, retries it or refuses it.
 void onRunEnded(DirectState &state, Instant now, const RunEnded &event, DirectEffects &effects);
 
-/// @brief Records that the first event of a stream was sent to the caller and tells the scheduler.
+/// @brief Records that the caller gets the first event of a run and tells the scheduler.
 void onRunStarted(DirectState &state, const RunStarted &event, DirectEffects &effects);
 
 /// @brief Handles a message from a scheduler.
--- a/packages/server/include/chervilspring/detail/net/direct_server.hpp
+++ b/packages/server/include/chervilspring/detail/net/direct_server.hpp
@@ -41,28 +41,32 @@
     const HttpRequest &request() const { return request_; }
 
     /// @brief Whether the head of an answer was sent or is being sent.
-    bool headSent() const { return headSent_; }
+    bool headSent() const { return phase_ != Phase::Waiting; }
 
     /// @brief Whether the exchange is over: answered, aborted or abandoned by the caller.
-    bool ended() const { return ended_; }
+    bool ended() const { return phase_ == Phase::Ended; }
 
-    /// @brief Writes an error answer. Does nothing if an answer has been started.
+    /// @brief Writes an error answer. Aborts the exchange if an answer has been started.
     /// @param status HTTP status
     /// @param retryAfter value of the header Retry-After, which is written in seconds with three
     /// decimals; zero omits the header
     /// @param reason reason in the JSON body; must not contain characters that JSON escapes
-    void refuse(unsigned status, nanoseconds retryAfter, const std::string &reason);
+    /// @return false if the answer is not written
+    bool refuse(unsigned status, nanoseconds retryAfter, const std::string &reason);
 
-    /// @brief Writes a complete answer of an upstream.
+    /// @brief Writes a complete answer of an upstream. Aborts the exchange if an answer has been
+    /// started.
     /// @param head status line and headers to forward, each terminated by CRLF
     /// @param body complete body
-    void answer(std::string head, const std::string &body);
+    /// @return false if the answer is not written
+    bool answer(std::string head, const std::string &body);
 
     /// @brief Writes the next part of a streamed answer.
     /// @param head as in answer(); empty if it was sent before
     /// @param bytes complete events
     /// @param last whether the stream ends after these bytes
-    /// @return false if the exchange has ended already or the caller is no longer reachable
+    /// @return false if the exchange has ended or has another answer. A caller that is no longer
+    /// reachable ends it.
     boost::asio::awaitable<bool> stream(std::string head, std::string bytes, bool last);
 
     /// @brief Closes the connection so that the caller detects the truncated answer.
@@ -73,6 +77,13 @@
 
 private:
     friend class DirectServer;
+    enum class Phase {
+        Waiting, ///< no answer was started
+        Streaming, ///< the head of a streamed answer was sent or is being sent
+        Answering, ///< a complete answer is being written
+        Ended,
+    };
+    bool beginAnswer();
     void write(std::string bytes);
     void end();
 
@@ -80,8 +91,7 @@
     std::shared_ptr<CallerConnection> connection_;
     HttpRequest request_;
     bool keepAlive_;
-    bool headSent_ = false;
-    bool ended_ = false;
+    Phase phase_ = Phase::Waiting;
 };
 
 using DirectExchangePointer = std::shared_ptr<DirectExchange>;
--- a/packages/server/include/chervilspring/detail/net/run_client.hpp
+++ b/packages/server/include/chervilspring/detail/net/run_client.hpp
@@ -16,7 +16,7 @@
 /// @brief Callbacks of RunClient, invoked on the thread that runs its context.
 struct RunHandlers
 {
-    /// Called when the first events of a stream were sent to the caller.
+    /// Called before the first events of a run are sent to the caller; it may stop the run.
     std::function<void(const RunStarted &)> onStarted_;
     /// Called when a run has ended by itself, not by stop().
     std::function<void(const RunEnded &)> onEnded_;
@@ -40,11 +40,12 @@
     /// @param attempt number of the run among those of its token
     void stop(std::uint64_t token, std::uint32_t attempt);
 
-    /// @brief Sends the held answer of a run to the caller; does nothing if there is none.
+    /// @brief Sends the held answer of a run to the caller. Aborts the exchange if there is none.
     /// @param token token of the run
     /// @param attempt number of the run among those of its token
     /// @param exchange exchange of the caller
-    void deliver(std::uint64_t token, std::uint32_t attempt, const DirectExchangePointer &exchange);
+    /// @return false if no answer is sent
+    bool deliver(std::uint64_t token, std::uint32_t attempt, const DirectExchangePointer &exchange);
 
     /// @brief Tests whether an upstream accepts connections.
     /// @param upstream the upstream
--- a/packages/server/include/chervilspring/detail/process/direct_thread.hpp
+++ b/packages/server/include/chervilspring/detail/process/direct_thread.hpp
@@ -49,6 +49,8 @@
     void applyPublishedView();
     /// Counts a request that has ended. startedAt: its arrival; zero: no duration is recorded.
     void recordRequestEnd(const std::string &outcome, Instant startedAt);
+    /// Records an effect that could not be carried out.
+    void recordUnappliedEffect(const std::string &effect, std::uint64_t token);
     void pollStop();
 
     Settings settings_;
--- a/packages/server/src/direct_server.cpp
+++ b/packages/server/src/direct_server.cpp
@@ -74,24 +74,38 @@
       keepAlive_(keepAlive)
 { }
 
-void DirectExchange::refuse(unsigned status, nanoseconds retryAfter, const std::string &reason)
+// Returns whether a complete answer can be written. After the start of another answer the caller
+// could not tell the two apart, so the connection is closed.
+bool DirectExchange::beginAnswer()
 {
-    if (!ended_ && !headSent_)
-        write(makeRefusal(status, retryAfter, reason, keepAlive_));
+    if (phase_ != Phase::Waiting) {
+        abort();
+        return false;
+    }
+    phase_ = Phase::Answering;
+    return true;
 }
 
-void DirectExchange::answer(std::string head, const std::string &body)
+bool DirectExchange::refuse(unsigned status, nanoseconds retryAfter, const std::string &reason)
 {
-    if (ended_ || headSent_)
-        return;
+    if (!beginAnswer())
+        return false;
+    write(makeRefusal(status, retryAfter, reason, keepAlive_));
+    return true;
+}
+
+bool DirectExchange::answer(std::string head, const std::string &body)
+{
+    if (!beginAnswer())
+        return false;
     head += "Content-Length: " + std::to_string(body.size()) + "\r\n";
     head += keepAlive_ ? "\r\n" : "Connection: close\r\n\r\n";
     write(head + body);
+    return true;
 }
 
 void DirectExchange::write(std::string bytes)
 {
-    headSent_ = true;
     auto text = std::make_shared<std::string>(std::move(bytes));
     asio::async_write(
         connection_->socket_, asio::buffer(*text),
@@ -107,13 +121,13 @@
 
 asio::awaitable<bool> DirectExchange::stream(std::string head, std::string bytes, bool last)
 {
-    if (ended_)
+    if (phase_ != Phase::Waiting && phase_ != Phase::Streaming)
         co_return false;
     std::string text = std::move(head);
-    if (!headSent_)
+    if (phase_ == Phase::Waiting)
         text += std::string("Transfer-Encoding: chunked\r\n")
             + (keepAlive_ ? "\r\n" : "Connection: close\r\n\r\n");
-    headSent_ = true;
+    phase_ = Phase::Streaming;
     if (!bytes.empty()) {
         char size[24];
         std::snprintf(size, sizeof(size), "%zx\r\n", bytes.size());
@@ -125,8 +139,10 @@
     boost::system::error_code error;
     co_await asio::async_write(connection->socket_, asio::buffer(text),
                                asio::redirect_error(use_awaitable, error));
-    if (error)
+    if (error) {
+        abort();
         co_return false;
+    }
     if (last) {
         boost::system::error_code ignored;
         if (!keepAlive_)
@@ -138,7 +154,7 @@
 
 void DirectExchange::abort()
 {
-    if (ended_)
+    if (ended())
         return;
     keepAlive_ = false;
     boost::system::error_code ignored;
@@ -148,7 +164,7 @@
 
 void DirectExchange::onCallerGone()
 {
-    if (ended_)
+    if (ended())
         return;
     keepAlive_ = false;
     end();
@@ -156,7 +172,7 @@
 
 void DirectExchange::end()
 {
-    ended_ = true;
+    phase_ = Phase::Ended;
     connection_->exchangeEndSignal_.cancel();
 }
 
--- a/packages/server/src/direct_thread.cpp
+++ b/packages/server/src/direct_thread.cpp
@@ -115,9 +115,12 @@
 
 void DirectThread::applyEffects(DirectEffects &effects)
 {
-    const auto findExchange = [this](std::uint64_t token) {
+    // Applies an effect to its exchange. An effect that cannot be carried out is logged, since the
+    // reducer assumes that it was.
+    const auto withExchange = [this](const char *effect, std::uint64_t token, const auto &apply) {
         const auto found = exchanges_.find(token);
-        return found == exchanges_.end() ? nullptr : found->second;
+        if (found == exchanges_.end() || !apply(found->second))
+            recordUnappliedEffect(effect, token);
     };
     const auto endExchange = [this](std::uint64_t token, const std::string &outcome) {
         recordRequestEnd(outcome, arrivalTimes_[token]);
@@ -127,21 +130,28 @@
     for (DirectEffect &effect : effects) {
         std::visit(Overloaded{
                        [&](StartRun &e) {
-                           if (auto exchange = findExchange(e.token_))
-                               client_.start(std::move(e), std::move(exchange));
+                           withExchange("start_run", e.token_, [&](const auto &exchange) {
+                               client_.start(std::move(e), exchange);
+                               return true;
+                           });
                        },
                        [&](const StopRun &e) { client_.stop(e.token_, e.attempt_); },
                        [&](const DeliverHeld &e) {
-                           if (const auto exchange = findExchange(e.token_))
-                               client_.deliver(e.token_, e.attempt_, exchange);
+                           withExchange("deliver_held", e.token_, [&](const auto &exchange) {
+                               return client_.deliver(e.token_, e.attempt_, exchange);
+                           });
                        },
                        [&](const RefuseCall &e) {
-                           if (const auto exchange = findExchange(e.token_))
-                               exchange->refuse(e.status_, e.retryAfter_, e.reason_);
+                           withExchange("refuse_call", e.token_, [&](const auto &exchange) {
+                               return exchange->refuse(e.status_, e.retryAfter_, e.reason_);
+                           });
                        },
                        [&](const AbortCall &e) {
-                           if (const auto exchange = findExchange(e.token_))
+                           withExchange("abort_call", e.token_, [&](const auto &exchange) {
+                               metrics_.count("responses_cut_total");
                                exchange->abort();
+                               return true;
+                           });
                        },
                        [&](const DirectEnded &e) { endExchange(e.token_, e.outcome_); },
                        [&](const ProbeUpstream &e) {
@@ -167,6 +177,13 @@
                          BootClock::now() - startedAt);
 }
 
+void DirectThread::recordUnappliedEffect(const std::string &effect, std::uint64_t token)
+{
+    metrics_.count("unapplied_effects_total{effect=\"" + effect + "\"}");
+    writeLog(LogLevel::Error,
+             "decision=unapplied effect=" + effect + " token=" + std::to_string(token));
+}
+
 void DirectThread::onRequest(const DirectExchangePointer &exchange)
 {
     handleErrors(
--- a/packages/server/src/run_client.cpp
+++ b/packages/server/src/run_client.cpp
@@ -113,14 +113,15 @@
         run->connection_->stream_.close();
 }
 
-void RunClient::deliver(std::uint64_t token, std::uint32_t attempt,
+bool RunClient::deliver(std::uint64_t token, std::uint32_t attempt,
                         const DirectExchangePointer &exchange)
 {
-    const auto found = heldAnswers_.find({token, attempt});
-    if (found == heldAnswers_.end())
-        return;
-    exchange->answer(std::move(found->second->head_), found->second->body_);
-    heldAnswers_.erase(found);
+    const auto held = heldAnswers_.extract({token, attempt});
+    if (held.empty()) {
+        exchange->abort();
+        return false;
+    }
+    return exchange->answer(std::move(held.mapped()->head_), held.mapped()->body_);
 }
 
 void RunClient::probe(const Upstream &upstream, std::function<void(bool reachable)> done)
@@ -317,16 +318,16 @@
     end.lastEventId_ = run->eventSplitter_->lastId();
     if (events.empty() && !last)
         co_return true;
-    const bool firstEvents = !run->answerHead_.empty();
-    const bool headAlreadySent = run->exchange_->headSent();
     std::string head = std::exchange(run->answerHead_, {});
-    if (headAlreadySent)
+    const bool firstEvents = !head.empty();
+    if (run->exchange_->headSent())
         head.clear();
-    if (!co_await run->exchange_->stream(std::move(head), std::move(events), last))
-        co_return false;
+    // Before the write, which may take long: from now on no other answer can be sent.
     if (firstEvents && !run->stopped_)
         handlers_.onStarted_(RunStarted{run->command_.token_, run->command_.attempt_});
-    co_return true;
+    if (run->stopped_)
+        co_return false;
+    co_return co_await run->exchange_->stream(std::move(head), std::move(events), last);
 }
 
 asio::awaitable<void> RunClient::forwardStream(RunPointer run, RunEnded &end)
--- /dev/null
+++ b/packages/server/tests/unit-direct_thread.cpp
@@ -0,0 +1,168 @@
+// Tests detail/process/direct_thread.hpp with scripted upstreams: responses that break off after
+// they have begun, resumed streams, silent upstreams and callers that read slowly.
+#include "chervilspring/detail/control/fleet_state.hpp"
+#include "chervilspring/detail/process/direct_thread.hpp"
+#include "scripted_upstream.hpp"
+#include "test_caller.hpp"
+
+#include <boost/test/data/monomorphic.hpp>
+#include <boost/test/data/test_case.hpp>
+#include <boost/test/unit_test.hpp>
+
+namespace {
+
+using namespace chervilspring;
+namespace data = boost::unit_test::data;
+namespace http = boost::beast::http;
+
+constexpr auto startTimeout = seconds(10);
+const std::string request = "GET /stream/x HTTP/1.1\r\nHost: host\r\n\r\n";
+
+DirectProtocol testProtocol()
+{
+    DirectProtocol protocol{};
+    protocol.readyPath_ = "/ready";
+    protocol.decodeCall_ = [](const HttpRequest &request) -> leaf::result<DirectCall> {
+        DirectCall call;
+        call.id_ = "id";
+        call.host_ = "host";
+        call.path_ = std::string(request.target());
+        call.callerTimeout_ = seconds(60);
+        return call;
+    };
+    protocol.isReservedHeader_ = [](std::string_view) { return false; };
+    protocol.runHeaders_ = [](const StartRun &run) {
+        std::vector<HttpHeader> headers;
+        if (!run.lastEventId_.empty())
+            headers.push_back({"Last-Event-Id", run.lastEventId_});
+        return headers;
+    };
+    protocol.decodeAnswer_ = [](const http::response_header<> &, const std::string &) {
+        RunAnswer answer;
+        answer.matches_ = true;
+        answer.fromUpstream_ = true;
+        return answer;
+    };
+    return protocol;
+}
+
+// Returns a view with the resumable streaming route /stream/ and two names for the same upstream.
+View testView(std::uint16_t upstreamPort, std::uint32_t maxAttempts, milliseconds timeout)
+{
+    View view;
+    view.version_ = 7;
+    view.fleetVersion_ = 7;
+    Pool pool;
+    pool.name_ = "plain";
+    pool.selector_ = "service = plain";
+    view.fleet_.pools_ = {pool};
+    RouteSpec route;
+    route.name_ = "stream";
+    route.host_ = "host";
+    route.pathPrefix_ = "/stream/";
+    route.kind_ = RouteKind::Streaming;
+    route.maxAttempts_ = maxAttempts;
+    route.timeout_ = timeout;
+    route.objective_ = milliseconds(300);
+    route.resumable_ = true;
+    route.targets_ = {RouteTarget{"plain", 1}};
+    view.fleet_.routes_ = {route};
+    for (const char *name : {"upstream-1", "upstream-2"}) {
+        Upstream upstream;
+        upstream.name_ = name;
+        upstream.phase_ = UpstreamPhase::Serving;
+        upstream.direct_ = true;
+        upstream.agentAddress_ = "127.0.0.1";
+        upstream.agentPort_ = upstreamPort;
+        upstream.labels_ = {Label{"service", "plain"}};
+        view.upstreams_.push_back(upstream);
+    }
+    return view;
+}
+
+Settings entrySettings()
+{
+    Settings settings;
+    settings.role_ = Role::Entry;
+    settings.name_ = "e1";
+    settings.address_ = "127.0.0.1";
+    settings.httpPort_ = findFreePort();
+    settings.secret_ = "a-secret-of-this-test";
+    settings.control_ = {ControlAddress{"c1", "127.0.0.1", findFreePort()}};
+    settings.retryRatio_ = 10;
+    settings.retryWindow_ = seconds(10);
+    return settings;
+}
+
+// An entry whose configuration names a scripted upstream, without any other process.
+class TestEntry
+{
+public:
+    explicit TestEntry(std::uint16_t upstreamPort, std::uint32_t maxAttempts = 2,
+                       milliseconds timeout = seconds(20))
+        : settings_(entrySettings()), protocol_(testProtocol()),
+          node_(settings_, PeerIdentity{settings_.name_, 1}, NodeCallbacks{}),
+          traffic_(settings_, protocol_, node_)
+    {
+        const View view = testView(upstreamPort, maxAttempts, timeout);
+        HeartbeatReply reply;
+        reply.update_ = makeFullUpdate(view);
+        node_.start();
+        traffic_.start();
+        node_.post(PeerMessage{"c1", reply});
+        const Instant end = BootClock::now() + startTimeout;
+        while (node_.publishedView()->view_->version_ != view.version_ && BootClock::now() < end)
+            std::this_thread::sleep_for(milliseconds(1));
+        BOOST_REQUIRE(node_.publishedView()->view_->version_ == view.version_);
+        traffic_.onViewPublished();
+    }
+
+    std::uint16_t port() const { return settings_.httpPort_; }
+
+private:
+    Settings settings_;
+    DirectProtocol protocol_;
+    NodeThread node_;
+    DirectThread traffic_;
+};
+
+std::string event(int id, const std::string &text = "token")
+{
+    return "id: " + std::to_string(id) + "\ndata: " + text + "\n\n";
+}
+
+std::string events(int first, int last)
+{
+    std::string text;
+    for (int id = first; id <= last; ++id)
+        text += event(id);
+    return text;
+}
+
+std::string chunk(const std::string &bytes)
+{
+    char size[24];
+    std::snprintf(size, sizeof(size), "%zx\r\n", bytes.size());
+    return size + bytes + "\r\n";
+}
+
+const std::string streamHead =
+    "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n";
+const std::string lastChunk = "0\r\n\r\n";
+
+// The timeout passes while the first events are still being written.
+BOOST_AUTO_TEST_CASE(response_to_a_slow_reader_is_cut_at_the_timeout)
+{
+    const std::string largeEvent = event(1, std::string(240 << 10, 'x'));
+    ScriptedUpstream upstream({Script{{{streamHead + chunk(largeEvent)}}}});
+    TestEntry entry(upstream.port(), 1, milliseconds(700));
+    TestCaller caller(entry.port(), CallerBuffers::Small);
+    caller.send(request);
+    std::this_thread::sleep_for(milliseconds(1200));
+    const Received received = caller.receive(seconds(3));
+    BOOST_TEST(received.status_ == 200u);
+    BOOST_TEST(received.closed_);
+    BOOST_TEST(!received.complete_);
+}
+
+} // namespace
