Drop the held response of a run that is retried

What callers saw: after many server errors that were retried, an entry would refuse to hold any response and answer 502 for every request that is not a stream, until it was restarted.

Cause: onHeldResponse() started the next run without an effect that drops the response of the last one. RunClient keeps a held response until it is delivered or its run is stopped.

Now the retry emits StopRun for the finished run, which drops the response.

--- a/packages/decision/include/chervilspring/detail/direct/direct.hpp
+++ b/packages/decision/include/chervilspring/detail/direct/direct.hpp
@@ -95,7 +95,7 @@
     std::uint32_t connectionLimit_ = 0; ///< connections of this entry to the upstream; 0: no limit
 };
 
-/// @brief Effect: cancel a run whose response is no longer needed.
+/// @brief Effect: cancel a run, or drop its held response, since the response is no longer needed.
 struct StopRun
 {
     std::uint64_t token_ = 0; ///< token of the request
--- a/packages/decision/src/direct/direct_runs.cpp
+++ b/packages/decision/src/direct/direct_runs.cpp
@@ -153,6 +153,7 @@
         addDecisionLine(effects, request, "repeat",
                         "upstream=" + request.upstream_
                             + " status=" + std::to_string(event.status_));
+        effects.push_back(StopRun{event.token_, event.attempt_}); // drops the held response
         request.avoidedUpstreams_.push_back(request.upstream_);
         retryRequest(state, now, event.token_, true, effects);
         return;
--- a/packages/decision/tests/unit-direct.cpp
+++ b/packages/decision/tests/unit-direct.cpp
@@ -187,6 +187,17 @@
     BOOST_TEST(effectsOf<RefuseCall>(effects).empty());
 }
 
+// An answer that is held for a run and neither delivered nor dropped would occupy memory for ever.
+BOOST_AUTO_TEST_CASE(held_answer_of_a_retried_run_is_dropped)
+{
+    DirectFixture fixture;
+    fixture.call("safe");
+    const auto effects = fixture.handle(RunEnded{1, 1, RunEnd::Held, 500, "", ""});
+    BOOST_TEST(effectsOf<StartRun>(effects).size() == 1u);
+    BOOST_REQUIRE(effectsOf<StopRun>(effects).size() == 1u);
+    BOOST_TEST(effectsOf<StopRun>(effects)[0].attempt_ == 1u);
+}
+
 BOOST_AUTO_TEST_CASE(resumed_stream_continues_after_the_last_delivered_event)
 {
     DirectFixture fixture;
@@ -392,6 +403,8 @@
     std::map<std::uint64_t, std::string> routeNames;
     std::map<std::uint64_t, int> possibleExecutions;
     std::map<std::uint64_t, int> endCounts;
+    // Number of the run whose answer is held, by request.
+    std::map<std::uint64_t, std::uint32_t> heldAnswers;
     std::uint64_t nextToken = 1;
     std::size_t seen = 0;
     const auto observe = [&] {
@@ -406,6 +419,11 @@
             } else if (const auto *refusal = std::get_if<RefuseCall>(&effect)) {
                 if (refusal->status_ == 503)
                     BOOST_TEST(possibleExecutions[refusal->token_] == 0);
+            } else if (const auto *delivery = std::get_if<DeliverHeld>(&effect)) {
+                BOOST_TEST(heldAnswers[delivery->token_] == delivery->attempt_);
+                heldAnswers.erase(delivery->token_);
+            } else if (const auto *stop = std::get_if<StopRun>(&effect)) {
+                heldAnswers.erase(stop->token_);
             } else if (const auto *end = std::get_if<DirectEnded>(&effect)) {
                 BOOST_TEST(++endCounts[end->token_] == 1);
                 BOOST_TEST(end->outcome_.find_first_not_of("abcdefghijklmnopqrstuvwxyz_")
@@ -433,6 +451,8 @@
                 fixture.grant("engine-" + std::to_string(1 + random() % 3), token);
             else if (request.phase_ == DirectPhase::Running) {
                 const RunEnd end = ends[random() % 8];
+                if (end == RunEnd::Held)
+                    heldAnswers[token] = request.attempt_;
                 const bool mayHaveExecuted = end != RunEnd::NotSent && end != RunEnd::NotExecuted
                     && end != RunEnd::InputsGone;
                 if (!mayHaveExecuted)
@@ -450,6 +470,7 @@
     fixture.handle(Wake{});
     observe();
     BOOST_TEST(fixture.state_.requests_.empty());
+    BOOST_TEST(heldAnswers.empty());
     for (const auto &[token, name] : routeNames)
         BOOST_TEST(endCounts[token] == 1);
 }
