Cut a stream, or resume it, if a later run answers with something else

What callers saw: a resumable stream had begun and broke off; the next upstream answered 500 (or 404, or 200 with another content type, or 204). The caller got no further bytes and the connection stayed open until the caller left. The log said outcome=delivered status=500, and the connection counted as busy, so that a stop waited for it.

Cause: such a response is held as a whole and the reducer decided DeliverHeld without regard to responseStarted_; DirectExchange::answer() returned silently, since a head had been sent. Statuses below 500 were never retried.

Now a held response after the response has begun counts as a failed run: the stream is resumed if the request may run again, otherwise the connection is closed without the end of the stream. Decision lines of cut responses say response=cut status=0 instead of a status that nobody got. The random sessions check that a response that has begun is never answered or refused, and is the only one that is aborted.

--- a/packages/decision/src/direct/direct_common.cpp
+++ b/packages/decision/src/direct/direct_common.cpp
@@ -56,11 +56,15 @@
 void refuseRequest(DirectState &state, Instant now, std::uint64_t token, unsigned status,
                    nanoseconds retryAfter, const EndReason &reason, DirectEffects &effects)
 {
-    DirectRequest &request = state.requests_.at(token);
-    if (request.responseStarted_)
+    const DirectRequest &request = state.requests_.at(token);
+    if (request.responseStarted_) {
         effects.push_back(AbortCall{token});
-    else
-        effects.push_back(RefuseCall{token, status, retryAfter, reason.outcome_});
+        EndReason cut = reason;
+        cut.detail_ += (cut.detail_.empty() ? "" : " ") + std::string("response=cut");
+        finishRequest(state, now, token, cut, 0, effects);
+        return;
+    }
+    effects.push_back(RefuseCall{token, status, retryAfter, reason.outcome_});
     finishRequest(state, now, token, reason, status, effects);
 }
 
--- a/packages/decision/src/direct/direct_runs.cpp
+++ b/packages/decision/src/direct/direct_runs.cpp
@@ -139,6 +139,18 @@
         failRequest(state, now, event.token_, nanoseconds(0), EndReason{"run_failed"}, effects);
 }
 
+// Handles a complete response that is held back although the caller has part of another one.
+void onUnusableResponse(DirectState &state, Instant now, const RunEnded &event,
+                        DirectRequest &request, DirectEffects &effects)
+{
+    effects.push_back(StopRun{event.token_, event.attempt_}); // drops the held response
+    RunEnded broken = event;
+    broken.end_ = RunEnd::Broken;
+    broken.detail_ =
+        "status " + std::to_string(event.status_) + " instead of the rest of the stream";
+    onFailedRun(state, now, broken, request, effects);
+}
+
 // Handles a complete response that is held back. A server error is retried if the request is
 // repeatable; any other response is delivered.
 void onHeldResponse(DirectState &state, Instant now, const RunEnded &event, DirectRequest &request,
@@ -236,9 +248,10 @@
     DirectRequest *request = findRun(state, event.token_, event.attempt_);
     if (!request)
         return;
-    const bool failed = event.end_ != RunEnd::Delivered
-        && !(event.end_ == RunEnd::Held && event.status_ < firstServerError)
-        && event.end_ != RunEnd::InputsGone;
+    const bool usable = event.end_ == RunEnd::Delivered
+        || (event.end_ == RunEnd::Held && event.status_ < firstServerError
+            && !request->responseStarted_);
+    const bool failed = !usable && event.end_ != RunEnd::InputsGone;
     recordRunEnd(state.upstreamStats_, request->upstream_, now - request->runStartedAt_, failed,
                  now);
     switch (event.end_) {
@@ -249,7 +262,10 @@
         finishRequest(state, now, event.token_, EndReason{"delivered"}, event.status_, effects);
         return;
     case RunEnd::Held:
-        onHeldResponse(state, now, event, *request, effects);
+        if (request->responseStarted_)
+            onUnusableResponse(state, now, event, *request, effects);
+        else
+            onHeldResponse(state, now, event, *request, effects);
         return;
     case RunEnd::NotSent:
     case RunEnd::NotExecuted:
--- a/packages/decision/tests/unit-direct.cpp
+++ b/packages/decision/tests/unit-direct.cpp
@@ -187,6 +187,46 @@
     BOOST_TEST(effectsOf<RefuseCall>(effects).empty());
 }
 
+struct BegunRow
+{
+    RunEnd end_; ///< of the second run
+    unsigned status_; ///< status of its response, 0: none
+    const char *outcome_;
+};
+
+std::ostream &operator<<(std::ostream &stream, const BegunRow &row)
+{
+    return stream << "end " << static_cast<int>(row.end_) << " status " << row.status_;
+}
+
+// What ends a resumed stream whose first run has sent events.
+const BegunRow begunTable[] = {
+    {RunEnd::Held, 500, "broken"},         {RunEnd::Held, 404, "broken"},
+    {RunEnd::Held, 200, "broken"},         {RunEnd::Failed, 0, "run_failed"},
+    {RunEnd::Broken, 200, "broken"},       {RunEnd::NotExecuted, 503, "upstreams_full"},
+    {RunEnd::NotSent, 0, "upstreams_full"}};
+
+BOOST_DATA_TEST_CASE(response_that_has_begun_is_cut_and_not_replaced, data::make(begunTable), row)
+{
+    DirectFixture fixture;
+    fixture.call("resumable");
+    fixture.grant("engine-1");
+    fixture.handle(RunStarted{1, 1});
+    fixture.handle(RunEnded{1, 1, RunEnd::Broken, 200, "3", ""});
+    fixture.state_.settings_.retryRatio_ = 0; // the second run is the last one
+    fixture.state_.settings_.retrySlack_ = 0;
+    fixture.grant("engine-2");
+    fixture.now_ += milliseconds(1490); // too little time for a third run
+    const auto effects = fixture.handle(RunEnded{1, 2, row.end_, row.status_, "", ""});
+    BOOST_TEST(effectsOf<DeliverHeld>(effects).empty());
+    BOOST_TEST(effectsOf<RefuseCall>(effects).empty());
+    BOOST_TEST(effectsOf<AbortCall>(effects).size() == 1u);
+    BOOST_REQUIRE(effectsOf<DirectEnded>(effects).size() == 1u);
+    BOOST_TEST(effectsOf<DirectEnded>(effects)[0].outcome_ == row.outcome_);
+    const std::string line = effectsOf<DecisionLine>(effects).back().text_;
+    BOOST_TEST(line.find("response=cut status=0") != std::string::npos, line);
+}
+
 // An answer that is held for a run and neither delivered nor dropped would occupy memory for ever.
 BOOST_AUTO_TEST_CASE(held_answer_of_a_retried_run_is_dropped)
 {
@@ -403,6 +443,7 @@
     std::map<std::uint64_t, std::string> routeNames;
     std::map<std::uint64_t, int> possibleExecutions;
     std::map<std::uint64_t, int> endCounts;
+    std::set<std::uint64_t> begun; // requests whose response has begun
     // Number of the run whose answer is held, by request.
     std::map<std::uint64_t, std::uint32_t> heldAnswers;
     std::uint64_t nextToken = 1;
@@ -419,7 +460,11 @@
             } else if (const auto *refusal = std::get_if<RefuseCall>(&effect)) {
                 if (refusal->status_ == 503)
                     BOOST_TEST(possibleExecutions[refusal->token_] == 0);
+                BOOST_TEST(!begun.contains(refusal->token_));
+            } else if (const auto *abort = std::get_if<AbortCall>(&effect)) {
+                BOOST_TEST(begun.contains(abort->token_));
             } else if (const auto *delivery = std::get_if<DeliverHeld>(&effect)) {
+                BOOST_TEST(!begun.contains(delivery->token_));
                 BOOST_TEST(heldAnswers[delivery->token_] == delivery->attempt_);
                 heldAnswers.erase(delivery->token_);
             } else if (const auto *stop = std::get_if<StopRun>(&effect)) {
@@ -450,6 +495,10 @@
             else if (request.phase_ == DirectPhase::Planning && !request.scheduler_.empty())
                 fixture.grant("engine-" + std::to_string(1 + random() % 3), token);
             else if (request.phase_ == DirectPhase::Running) {
+                if (routeNames[token] == "resumable" && random() % 3 == 0) {
+                    begun.insert(token);
+                    fixture.handle(RunStarted{token, request.attempt_});
+                }
                 const RunEnd end = ends[random() % 8];
                 if (end == RunEnd::Held)
                     heldAnswers[token] = request.attempt_;
--- a/packages/server/tests/unit-direct_thread.cpp
+++ b/packages/server/tests/unit-direct_thread.cpp
@@ -150,6 +150,82 @@
     "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n";
 const std::string lastChunk = "0\r\n\r\n";
 
+std::string wholeAnswer(const std::string &status, const std::string &type, const std::string &body)
+{
+    return "HTTP/1.1 " + status + "\r\nContent-Type: " + type
+        + "\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+}
+
+// A stream that breaks off in the middle of its third event.
+Script brokenStream()
+{
+    return Script{{{streamHead + chunk(events(1, 2))}, {chunk("id: 3\nda"), milliseconds(20)}},
+                  ScriptEnd::Reset};
+}
+
+// The end of that stream.
+Script resumedStream()
+{
+    return Script{{{streamHead + chunk(events(3, 4)) + lastChunk}}};
+}
+
+bool hasHeader(const std::string &head, const std::string &line)
+{
+    return head.find(line + "\r\n") != std::string::npos;
+}
+
+struct AnswerRow
+{
+    const char *name_;
+    std::string answer_; ///< of the second run
+};
+
+std::ostream &operator<<(std::ostream &stream, const AnswerRow &row)
+{
+    return stream << row.name_;
+}
+
+const AnswerRow wholeAnswers[] = {
+    {"server error", wholeAnswer("500 Failed", "text/plain", "error text")},
+    {"caller error", wholeAnswer("404 Not Found", "text/plain", "error text")},
+    {"server error as events", wholeAnswer("500 Failed", "text/event-stream", events(3, 4))},
+    {"success that is no stream", wholeAnswer("200 OK", "application/json", "{}")},
+    {"success without a body", "HTTP/1.1 204 No Content\r\n\r\n"},
+    {"stream head without events", streamHead + "1"},
+};
+
+BOOST_DATA_TEST_CASE(broken_stream_is_cut_if_the_last_run_sends_no_stream, data::make(wholeAnswers),
+                     row)
+{
+    ScriptedUpstream upstream({brokenStream(), Script{{{row.answer_}}, ScriptEnd::Close}});
+    TestEntry entry(upstream.port());
+    TestCaller caller(entry.port());
+    caller.send(request);
+    const Received received = caller.receive(seconds(3));
+    BOOST_TEST(upstream.requestHeads().size() == 2u);
+    BOOST_TEST(received.status_ == 200u);
+    BOOST_TEST(received.body_ == events(1, 2));
+    BOOST_TEST(received.closed_);
+    BOOST_TEST(!received.complete_);
+}
+
+BOOST_DATA_TEST_CASE(broken_stream_is_resumed_after_a_run_that_sends_no_stream,
+                     data::make(wholeAnswers), row)
+{
+    ScriptedUpstream upstream(
+        {brokenStream(), Script{{{row.answer_}}, ScriptEnd::Close}, resumedStream()});
+    TestEntry entry(upstream.port(), 3);
+    TestCaller caller(entry.port());
+    caller.send(request);
+    const Received received = caller.receive(seconds(3));
+    const auto heads = upstream.requestHeads();
+    BOOST_REQUIRE(heads.size() == 3u);
+    BOOST_TEST(hasHeader(heads[2], "Last-Event-Id: 2"));
+    BOOST_TEST(received.body_ == events(1, 4));
+    BOOST_TEST(received.complete_);
+    BOOST_TEST(received.responseBytes_ == received.bytes_.size());
+}
+
 // The timeout passes while the first events are still being written.
 BOOST_AUTO_TEST_CASE(response_to_a_slow_reader_is_cut_at_the_timeout)
 {
