Don't resume a stream for a caller that cannot be reached any more

What was seen: a write to the caller failed while events were forwarded. The run ended as Broken, so that the stream was resumed at another upstream for a caller that had left, and the upstream counted as failed.

Cause: a failed write was one of several ends of a run called Broken, and nothing told the reducer that the caller had left. The watch for a disconnect sees it in most cases, but not if the caller has sent bytes of its next request before.

Failed before: stream_is_not_resumed_for_a_caller_that_has_left: check upstream.connectionLog() == log has failed (size mismatch: 4 != 2, a second run was started) New: run_whose_caller_is_gone_is_neither_retried_nor_answered and CallerGone among the ends of guarantees_hold_in_random_sessions.

--- a/packages/decision/include/chervilspring/detail/direct/direct.hpp
+++ b/packages/decision/include/chervilspring/detail/direct/direct.hpp
@@ -45,6 +45,7 @@
     Failed, ///< no usable response; the upstream may have executed the request
     Broken, ///< the stream ended early, after events were sent to the caller
     TimedOut, ///< the time limit of the run expired
+    CallerGone, ///< the caller is no longer reachable; its exchange has ended
 };
 
 /// @brief Event: a run ended, or its response is held back.
--- a/packages/decision/src/direct/direct_runs.cpp
+++ b/packages/decision/src/direct/direct_runs.cpp
@@ -251,7 +251,8 @@
     const bool usable = event.end_ == RunEnd::Delivered
         || (event.end_ == RunEnd::Held && event.status_ < firstServerError
             && !request->responseStarted_);
-    const bool failed = !usable && event.end_ != RunEnd::InputsGone;
+    const bool failed =
+        !usable && event.end_ != RunEnd::InputsGone && event.end_ != RunEnd::CallerGone;
     recordRunEnd(state.upstreamStats_, request->upstream_, now - request->runStartedAt_, failed,
                  now);
     switch (event.end_) {
@@ -277,6 +278,11 @@
     case RunEnd::TimedOut:
         onFailedRun(state, now, event, *request, effects);
         return;
+    case RunEnd::CallerGone:
+        ++request->possibleExecutions_;
+        notifyScheduler(*request, PlanOutcome::NotServed, "caller_gone", effects);
+        finishRequest(state, now, event.token_, EndReason{"caller_gone"}, 0, effects);
+        return;
     }
 }
 
--- a/packages/decision/tests/unit-direct.cpp
+++ b/packages/decision/tests/unit-direct.cpp
@@ -111,6 +111,14 @@
                         PlanGrant{request.call_.id_, request.planRound_, upstream, 0, {"handle"}}});
     }
 
+    /// Sends a request whose run at engine-1 sends its first event.
+    void beginStream(const std::string &route)
+    {
+        call(route);
+        grant("engine-1");
+        handle(RunStarted{1, 1});
+    }
+
     DirectState state_;
     Instant now_ = Instant(seconds(1000));
     DirectEffects allEffects_;
@@ -179,9 +187,7 @@
 BOOST_AUTO_TEST_CASE(broken_stream_that_is_not_resumable_is_aborted)
 {
     DirectFixture fixture;
-    fixture.call("stream");
-    fixture.grant("engine-1");
-    fixture.handle(RunStarted{1, 1});
+    fixture.beginStream("stream");
     const auto effects = fixture.handle(RunEnded{1, 1, RunEnd::Broken, 200, "4", ""});
     BOOST_TEST(effectsOf<AbortCall>(effects).size() == 1u);
     BOOST_TEST(effectsOf<RefuseCall>(effects).empty());
@@ -209,9 +215,7 @@
 BOOST_DATA_TEST_CASE(response_that_has_begun_is_cut_and_not_replaced, data::make(begunTable), row)
 {
     DirectFixture fixture;
-    fixture.call("resumable");
-    fixture.grant("engine-1");
-    fixture.handle(RunStarted{1, 1});
+    fixture.beginStream("resumable");
     fixture.handle(RunEnded{1, 1, RunEnd::Broken, 200, "3", ""});
     fixture.state_.settings_.retryRatio_ = 0; // the second run is the last one
     fixture.state_.settings_.retrySlack_ = 0;
@@ -241,9 +245,7 @@
 BOOST_AUTO_TEST_CASE(resumed_stream_continues_after_the_last_delivered_event)
 {
     DirectFixture fixture;
-    fixture.call("resumable");
-    fixture.grant("engine-1");
-    fixture.handle(RunStarted{1, 1});
+    fixture.beginStream("resumable");
     fixture.handle(RunEnded{1, 1, RunEnd::Broken, 200, "17", ""});
     const auto effects = fixture.grant("engine-2");
     BOOST_REQUIRE(effectsOf<StartRun>(effects).size() == 1u);
@@ -363,6 +365,19 @@
     BOOST_TEST(std::holds_alternative<PlanEnd>(effectsOf<SendToPeer>(effects)[0].message_));
 }
 
+BOOST_AUTO_TEST_CASE(run_whose_caller_is_gone_is_neither_retried_nor_answered)
+{
+    DirectFixture fixture;
+    fixture.beginStream("resumable");
+    const auto effects = fixture.handle(RunEnded{1, 1, RunEnd::CallerGone, 200, "4", ""});
+    BOOST_TEST(effectsOf<AbortCall>(effects).empty());
+    BOOST_REQUIRE(effectsOf<SendToPeer>(effects).size() == 1u);
+    BOOST_TEST(std::holds_alternative<PlanEnd>(effectsOf<SendToPeer>(effects)[0].message_));
+    BOOST_REQUIRE(effectsOf<DirectEnded>(effects).size() == 1u);
+    BOOST_TEST(effectsOf<DirectEnded>(effects)[0].outcome_ == "caller_gone");
+    BOOST_TEST(fixture.state_.upstreamStats_.at("engine-1").failureRate_ == 0.0);
+}
+
 BOOST_AUTO_TEST_CASE(requests_of_a_lost_scheduler_are_replanned_at_another_one)
 {
     DirectFixture fixture;
@@ -438,8 +453,9 @@
     DirectFixture fixture(static_cast<std::uint64_t>(seed), 3);
     std::mt19937_64 random(static_cast<std::uint64_t>(seed));
     const char *routes[] = {"safe", "unsafe", "stream", "resumable"};
-    const RunEnd ends[] = {RunEnd::Delivered,  RunEnd::Held,   RunEnd::NotSent, RunEnd::NotExecuted,
-                           RunEnd::InputsGone, RunEnd::Failed, RunEnd::Broken,  RunEnd::TimedOut};
+    const RunEnd ends[] = {RunEnd::Delivered,   RunEnd::Held,       RunEnd::NotSent,
+                           RunEnd::NotExecuted, RunEnd::InputsGone, RunEnd::Failed,
+                           RunEnd::Broken,      RunEnd::TimedOut,   RunEnd::CallerGone};
     std::map<std::uint64_t, std::string> routeNames;
     std::map<std::uint64_t, int> possibleExecutions;
     std::map<std::uint64_t, int> endCounts;
@@ -499,7 +515,7 @@
                     begun.insert(token);
                     fixture.handle(RunStarted{token, request.attempt_});
                 }
-                const RunEnd end = ends[random() % 8];
+                const RunEnd end = ends[random() % std::size(ends)];
                 if (end == RunEnd::Held)
                     heldAnswers[token] = request.attempt_;
                 const bool mayHaveExecuted = end != RunEnd::NotSent && end != RunEnd::NotExecuted
--- a/packages/server/src/run_client.cpp
+++ b/packages/server/src/run_client.cpp
@@ -158,6 +158,10 @@
     end.token_ = run->command_.token_;
     end.attempt_ = run->command_.attempt_;
     bool noAnswerBytes = false;
+    if (run->exchange_->ended()) {
+        end.end_ = RunEnd::CallerGone;
+        co_return end;
+    }
     if (run->stopped_ || !co_await connect(run, end))
         co_return end;
     bool headRead = co_await exchangeHeads(run, end, noAnswerBytes);
@@ -370,7 +374,7 @@
     const bool answerStarted = headAlreadySent || run->exchange_->headSent();
     end.end_ = answerStarted ? RunEnd::Broken : RunEnd::Failed;
     if (!callerReachable)
-        end.detail_ = "the caller is no longer reachable";
+        end.end_ = RunEnd::CallerGone;
     else if (run->eventSplitter_->isEventTooLong())
         end.detail_ = "stream: an event exceeds the size limit";
     else
--- a/packages/server/tests/scripted_upstream.cpp
+++ b/packages/server/tests/scripted_upstream.cpp
@@ -79,13 +79,12 @@
         if (number > scripts_.size())
             co_return;
         const Script &script = scripts_[number - 1];
-        co_await play(socket, number, script);
-        if (script.end_ != ScriptEnd::KeepOpen)
+        if (!co_await play(socket, number, script))
             co_return;
     }
 }
 
-asio::awaitable<void> ScriptedUpstream::play(tcp::socket &socket, std::size_t number,
+asio::awaitable<bool> ScriptedUpstream::play(tcp::socket &socket, std::size_t number,
                                              const Script &script)
 {
     boost::system::error_code error;
@@ -102,17 +101,18 @@
         co_await asio::post(context_, use_awaitable);
         if (closed) {
             note("closed " + std::to_string(number));
-            co_return;
+            co_return false;
         }
         co_await asio::async_write(socket, asio::buffer(step.bytes_),
                                    asio::redirect_error(use_awaitable, error));
         if (error)
-            co_return;
+            co_return false;
     }
     if (script.end_ == ScriptEnd::Reset)
         socket.set_option(asio::socket_base::linger(true, 0), error);
     if (script.end_ != ScriptEnd::KeepOpen)
         socket.close(error);
+    co_return script.end_ == ScriptEnd::KeepOpen;
 }
 
 } // namespace chervilspring
--- a/packages/server/tests/scripted_upstream.hpp
+++ b/packages/server/tests/scripted_upstream.hpp
@@ -54,7 +54,8 @@
 private:
     boost::asio::awaitable<void> acceptLoop();
     boost::asio::awaitable<void> serve(boost::asio::ip::tcp::socket socket);
-    boost::asio::awaitable<void> play(boost::asio::ip::tcp::socket &socket, std::size_t number,
+    /// Plays a script. Returns whether the connection is still open.
+    boost::asio::awaitable<bool> play(boost::asio::ip::tcp::socket &socket, std::size_t number,
                                       const Script &script);
     void note(const std::string &entry);
 
--- a/packages/server/tests/unit-direct_thread.cpp
+++ b/packages/server/tests/unit-direct_thread.cpp
@@ -241,4 +241,21 @@
     BOOST_TEST(!received.complete_);
 }
 
+// A byte of a next request keeps the entry from noticing the reset before it writes.
+BOOST_AUTO_TEST_CASE(stream_is_not_resumed_for_a_caller_that_has_left)
+{
+    Script stream{{{streamHead + chunk(events(1, 2))}}};
+    for (int id = 3; id <= 12; ++id)
+        stream.steps_.push_back({chunk(event(id)), milliseconds(50)});
+    ScriptedUpstream upstream({stream, stream});
+    TestEntry entry(upstream.port());
+    TestCaller caller(entry.port());
+    caller.send(request + "G");
+    BOOST_TEST(!caller.receive(milliseconds(100)).body_.empty());
+    caller.reset();
+    std::this_thread::sleep_for(milliseconds(700));
+    const std::vector<std::string> log = {"request 1", "closed 1"};
+    BOOST_TEST(upstream.connectionLog() == log, boost::test_tools::per_element());
+}
+
 } // namespace
