Forward no event after a missing one, and check the last one like the others

What callers saw: if an upstream left out an event, or a resumed run began later than asked, the event after the gap was forwarded. Only then was the run ended, and the next one resumed after that event: the caller got a stream that ended as complete with an event missing. Bytes after the last complete event were forwarded without any check, so that the unended last event of a resumed run could repeat one that the caller had, or follow a gap.

Cause: EventSplitter reported a gap but returned the event and took its id as the last one; takeRemainder() didn't look at ids.

Now takeEvents() returns nothing from a gap on, and lastId() stays at the event before it, where the stream can be resumed. takeRemainder() treats the rest like an event.

--- a/packages/server/include/chervilspring/detail/net/event_splitter.hpp
+++ b/packages/server/include/chervilspring/detail/net/event_splitter.hpp
@@ -20,11 +20,12 @@
     /// @brief Appends received bytes.
     void add(std::string_view bytes) { pending_.append(bytes); }
 
-    /// @brief Removes and returns the complete events, unchanged and in order.
+    /// @brief Removes and returns the complete events, unchanged and in order. Returns none from a
+    /// gap on, see hasGap().
     std::string takeEvents();
 
-    /// @brief Removes and returns the bytes after the last complete event. Call at the end of the
-    /// stream.
+    /// @brief Removes and returns the bytes after the last complete event, which are treated like
+    /// one. Call at the end of the stream, after takeEvents().
     std::string takeRemainder();
 
     /// @brief Returns the id of the last event returned that had one. Initially the id given to the
@@ -34,7 +35,7 @@
     /// @brief Whether the incomplete event is longer than maxEventBytes.
     bool isEventTooLong() const { return pending_.size() > maxEventBytes; }
 
-    /// @brief Whether the numeric id of an event was not the successor of the previous one.
+    /// @brief Whether the numeric id of an event is not the successor of the previous one.
     bool hasGap() const { return hasGap_; }
 
 private:
--- a/packages/server/include/chervilspring/detail/net/run_client.hpp
+++ b/packages/server/include/chervilspring/detail/net/run_client.hpp
@@ -73,8 +73,9 @@
     boost::asio::awaitable<bool> exchangeHeads(RunPointer run, RunEnded &end, bool &noAnswerBytes);
     boost::asio::awaitable<void> readWholeAnswer(RunPointer run, RunEnded &end);
     boost::asio::awaitable<void> forwardStream(RunPointer run, RunEnded &end);
-    /// Forwards the complete events. Returns false if the caller is no longer reachable.
-    boost::asio::awaitable<bool> forwardEvents(RunPointer run, RunEnded &end, bool last);
+    /// Forwards complete events, and the end of the stream if last is set. Returns false if the run
+    /// was stopped or the caller is no longer reachable.
+    boost::asio::awaitable<bool> forwardEvents(RunPointer run, std::string events, bool last);
     void sendRequest(const RunPointer &run);
     void keepConnection(const RunPointer &run);
 
--- a/packages/server/src/event_splitter.cpp
+++ b/packages/server/src/event_splitter.cpp
@@ -1,6 +1,7 @@
 #include "chervilspring/detail/net/event_splitter.hpp"
 
 #include <charconv>
+#include <utility>
 
 namespace chervilspring {
 
@@ -40,7 +41,8 @@
     : lastId_(lastEventId), lastNumericId_(parseNumber(lastEventId))
 { }
 
-// Records the id of an event. Returns false if the caller already has the event.
+// Records the id of an event. Returns false if the caller already has the event, or if events
+// before it are missing.
 bool EventSplitter::acceptEvent(std::string_view event)
 {
     const std::string_view id = eventId(event);
@@ -49,8 +51,10 @@
     const auto number = parseNumber(id);
     if (number && lastNumericId_ && *number <= *lastNumericId_)
         return false;
-    if (number && lastNumericId_ && *number != *lastNumericId_ + 1)
+    if (number && lastNumericId_ && *number != *lastNumericId_ + 1) {
         hasGap_ = true;
+        return false;
+    }
     lastId_ = id;
     lastNumericId_ = number;
     return true;
@@ -60,7 +64,7 @@
 {
     std::string events;
     std::size_t begin = 0;
-    for (auto end = pending_.find(separator, searchOffset_); end != std::string::npos;
+    for (auto end = pending_.find(separator, searchOffset_); end != std::string::npos && !hasGap_;
          end = pending_.find(separator, begin)) {
         const std::size_t next = end + separator.size();
         const std::string_view event(pending_.data() + begin, next - begin);
@@ -76,9 +80,10 @@
 
 std::string EventSplitter::takeRemainder()
 {
-    std::string rest = std::move(pending_);
-    pending_.clear();
+    std::string rest = std::exchange(pending_, {});
     searchOffset_ = 0;
+    if (hasGap_ || !acceptEvent(rest))
+        rest.clear();
     return rest;
 }
 
--- a/packages/server/src/run_client.cpp
+++ b/packages/server/src/run_client.cpp
@@ -314,12 +314,8 @@
         heldAnswers_[{run->command_.token_, run->command_.attempt_}] = std::move(held);
 }
 
-asio::awaitable<bool> RunClient::forwardEvents(RunPointer run, RunEnded &end, bool last)
+asio::awaitable<bool> RunClient::forwardEvents(RunPointer run, std::string events, bool last)
 {
-    std::string events = run->eventSplitter_->takeEvents();
-    if (last)
-        events += run->eventSplitter_->takeRemainder();
-    end.lastEventId_ = run->eventSplitter_->lastId();
     if (events.empty() && !last)
         co_return true;
     std::string head = std::exchange(run->answerHead_, {});
@@ -360,12 +356,18 @@
         run->answerSize_.bodyBytes_ += count;
         run->eventSplitter_->add(std::string_view(readBuffer).substr(0, count));
         if (!run->parser_->is_done() && count > 0)
-            callerReachable = co_await forwardEvents(run, end, false);
+            callerReachable = co_await forwardEvents(run, run->eventSplitter_->takeEvents(), false);
     }
     connection.stream_.expires_never();
-    const bool complete = run->parser_->is_done() && !error && isIntact();
-    if (complete && callerReachable)
-        callerReachable = co_await forwardEvents(run, end, true);
+    std::string lastEvents = run->eventSplitter_->takeEvents();
+    bool complete = run->parser_->is_done() && !error && isIntact();
+    if (complete) {
+        lastEvents += run->eventSplitter_->takeRemainder();
+        complete = isIntact();
+    }
+    end.lastEventId_ = run->eventSplitter_->lastId();
+    if (callerReachable)
+        callerReachable = co_await forwardEvents(run, std::move(lastEvents), complete);
     if (complete && callerReachable) {
         end.end_ = RunEnd::Delivered;
         keepConnection(run);
@@ -377,6 +379,8 @@
         end.end_ = RunEnd::CallerGone;
     else if (run->eventSplitter_->isEventTooLong())
         end.detail_ = "stream: an event exceeds the size limit";
+    else if (run->eventSplitter_->hasGap())
+        end.detail_ = "stream: events are missing after id " + end.lastEventId_;
     else
         end.detail_ = "stream: " + error.message();
 }
--- a/packages/server/tests/unit-direct_thread.cpp
+++ b/packages/server/tests/unit-direct_thread.cpp
@@ -226,6 +226,134 @@
     BOOST_TEST(received.responseBytes_ == received.bytes_.size());
 }
 
+struct StreamRow
+{
+    const char *name_;
+    std::string answer_; ///< bytes of the first run
+    ScriptEnd end_; ///< what the upstream does after them
+    bool resumed_; ///< the stream is broken and continues after event 2
+    std::string body_; ///< body that the caller gets
+};
+
+std::ostream &operator<<(std::ostream &stream, const StreamRow &row)
+{
+    return stream << row.name_;
+}
+
+std::string lengthHead(std::size_t length)
+{
+    return "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nContent-Length: "
+        + std::to_string(length) + "\r\n\r\n";
+}
+
+const std::string openHead =
+    "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nConnection: close\r\n\r\n";
+const std::string half = "id: 3\ndata: to";
+const std::string unendedEvent = "id: 3\ndata: last";
+
+// How the end of a stream is recognised, and what the caller gets if it is not a whole one.
+const StreamRow streamEnds[] = {
+    {"chunks, whole", streamHead + chunk(events(1, 4)) + lastChunk, ScriptEnd::KeepOpen, false,
+     events(1, 4)},
+    {"chunks, closed", streamHead + chunk(events(1, 2)), ScriptEnd::Close, true, events(1, 4)},
+    {"chunks, closed in an event", streamHead + chunk(events(1, 2) + half), ScriptEnd::Close, true,
+     events(1, 4)},
+    {"chunks, reset", streamHead + chunk(events(1, 2)), ScriptEnd::Reset, true, events(1, 4)},
+    {"chunks, no bytes of a stream", streamHead + chunk(events(1, 2)) + "HTTP/1.1 500 Failed\r\n",
+     ScriptEnd::KeepOpen, true, events(1, 4)},
+    {"chunks, last event without an end",
+     streamHead + chunk(events(1, 2) + unendedEvent) + lastChunk, ScriptEnd::KeepOpen, false,
+     events(1, 2) + unendedEvent},
+    {"length, whole", lengthHead(events(1, 4).size()) + events(1, 4), ScriptEnd::KeepOpen, false,
+     events(1, 4)},
+    {"length, closed", lengthHead(events(1, 4).size()) + events(1, 2), ScriptEnd::Close, true,
+     events(1, 4)},
+    {"length, closed in an event", lengthHead(events(1, 4).size()) + events(1, 2) + half,
+     ScriptEnd::Close, true, events(1, 4)},
+    {"length, reset", lengthHead(events(1, 4).size()) + events(1, 2), ScriptEnd::Reset, true,
+     events(1, 4)},
+    {"no length, whole", openHead + events(1, 4), ScriptEnd::Close, false, events(1, 4)},
+    {"no length, reset", openHead + events(1, 2), ScriptEnd::Reset, true, events(1, 4)},
+    {"event missing", streamHead + chunk(events(1, 2)) + chunk(events(4, 4)) + lastChunk,
+     ScriptEnd::KeepOpen, true, events(1, 4)},
+    {"event missing in one piece", streamHead + chunk(events(1, 2) + event(4)) + lastChunk,
+     ScriptEnd::KeepOpen, true, events(1, 4)},
+    {"last event without an end missing",
+     streamHead + chunk(events(1, 2) + "id: 4\ndata: last") + lastChunk, ScriptEnd::KeepOpen, true,
+     events(1, 4)},
+};
+
+// A pause separates the events from the end, so that events are forwarded before the stream ends.
+Script withPause(const std::string &answer, ScriptEnd end)
+{
+    const std::size_t split = answer.find(event(2)) + event(2).size();
+    return Script{{{answer.substr(0, split)}, {answer.substr(split), milliseconds(30)}}, end};
+}
+
+BOOST_DATA_TEST_CASE(stream_is_complete_only_if_the_upstream_ended_it, data::make(streamEnds), row)
+{
+    ScriptedUpstream upstream({withPause(row.answer_, row.end_), resumedStream()});
+    TestEntry entry(upstream.port());
+    TestCaller caller(entry.port());
+    caller.send(request);
+    const Received received = caller.receive(seconds(3));
+    const auto heads = upstream.requestHeads();
+    BOOST_TEST(heads.size() == (row.resumed_ ? 2u : 1u));
+    if (heads.size() == 2)
+        BOOST_TEST(hasHeader(heads[1], "Last-Event-Id: 2"));
+    BOOST_TEST(received.body_ == row.body_);
+    BOOST_TEST(received.complete_);
+}
+
+BOOST_DATA_TEST_CASE(stream_that_broke_off_for_good_does_not_look_complete, data::make(streamEnds),
+                     row)
+{
+    ScriptedUpstream upstream({withPause(row.answer_, row.end_)});
+    TestEntry entry(upstream.port(), 1);
+    TestCaller caller(entry.port());
+    caller.send(request);
+    const Received received = caller.receive(seconds(3));
+    BOOST_TEST(received.body_ == (row.resumed_ ? events(1, 2) : row.body_));
+    BOOST_TEST(received.complete_ == !row.resumed_);
+    BOOST_TEST(received.closed_ == row.resumed_);
+}
+
+struct ResumedRow
+{
+    const char *name_;
+    std::string resumed_; ///< answer of the second run
+    std::string body_; ///< body that the caller gets
+    bool complete_;
+};
+
+std::ostream &operator<<(std::ostream &stream, const ResumedRow &row)
+{
+    return stream << row.name_;
+}
+
+const ResumedRow resumedAnswers[] = {
+    {"from the start", streamHead + chunk(events(1, 4)) + lastChunk, events(1, 4), true},
+    {"head with a length", lengthHead(events(3, 4).size()) + events(3, 4), events(1, 4), true},
+    {"later than asked", streamHead + chunk(events(4, 5)) + lastChunk, events(1, 2), false},
+    {"unended event that the caller has", streamHead + chunk("id: 2\ndata: token") + lastChunk,
+     events(1, 2), true},
+    {"unended event later than asked", streamHead + chunk("id: 4\ndata: token") + lastChunk,
+     events(1, 2), false},
+};
+
+BOOST_DATA_TEST_CASE(resumed_stream_continues_after_the_last_event_only, data::make(resumedAnswers),
+                     row)
+{
+    ScriptedUpstream upstream({brokenStream(), Script{{{row.resumed_}}}});
+    TestEntry entry(upstream.port());
+    TestCaller caller(entry.port());
+    caller.send(request);
+    const Received received = caller.receive(seconds(3));
+    BOOST_TEST(received.body_ == row.body_);
+    BOOST_TEST(received.complete_ == row.complete_);
+    BOOST_TEST(received.closed_ == !row.complete_);
+}
+
 // The timeout passes while the first events are still being written.
 BOOST_AUTO_TEST_CASE(response_to_a_slow_reader_is_cut_at_the_timeout)
 {
--- a/packages/server/tests/unit-event_splitter.cpp
+++ b/packages/server/tests/unit-event_splitter.cpp
@@ -1,6 +1,8 @@
 // Tests detail/net/event_splitter.hpp: complete events, resumed streams, gaps.
 #include "chervilspring/detail/net/event_splitter.hpp"
 
+#include <boost/test/data/monomorphic.hpp>
+#include <boost/test/data/test_case.hpp>
 #include <boost/test/unit_test.hpp>
 
 #include <random>
@@ -63,4 +65,46 @@
     BOOST_TEST(splitter.hasGap());
 }
 
+BOOST_AUTO_TEST_CASE(events_after_a_missing_one_are_not_returned)
+{
+    EventSplitter splitter("3");
+    splitter.add(event(4) + event(6));
+    BOOST_TEST(splitter.takeEvents() == event(4));
+    splitter.add(event(7) + "id: 8");
+    BOOST_TEST(splitter.takeEvents().empty());
+    BOOST_TEST(splitter.takeRemainder().empty());
+    BOOST_TEST(splitter.hasGap());
+    BOOST_TEST(splitter.lastId() == "4"); // a stream that is resumed after it misses nothing
+}
+
+struct RemainderRow
+{
+    const char *bytes_; ///< after the last complete event
+    const char *returned_;
+    bool hasGap_;
+};
+
+std::ostream &operator<<(std::ostream &stream, const RemainderRow &row)
+{
+    return stream << '"' << row.bytes_ << '"';
+}
+
+const RemainderRow remainders[] = {
+    {"", "", false},
+    {"data: end", "data: end", false},
+    {"id: 4\ndata: end", "id: 4\ndata: end", false},
+    {"id: 3\ndata: end", "", false},
+    {"id: 5\ndata: end", "", true},
+};
+
+BOOST_DATA_TEST_CASE(remainder_is_treated_like_an_event, boost::unit_test::data::make(remainders),
+                     row)
+{
+    EventSplitter splitter("3");
+    splitter.add(row.bytes_);
+    BOOST_TEST(splitter.takeEvents().empty());
+    BOOST_TEST(splitter.takeRemainder() == row.returned_);
+    BOOST_TEST(splitter.hasGap() == row.hasGap_);
+}
+
 } // namespace
