Take a stream without length that ends in an event for a broken one

What callers saw: an upstream that sends its stream without a length and without chunks failed in the middle of an event and its connection was closed, not reset. The caller got the part of the event and the end of the stream, as if it were complete.

Cause: the end of such a connection is the end of the body, and the bytes after the last complete event were forwarded with it.

Now such a stream is complete only if its last event is; otherwise the run counts as broken and is resumed, or the response is cut. A stream with a length or chunks may still end with an unended event. A connection that is closed between two events cannot be told from a complete stream.

Failed before: stream_is_complete_only_if_the_upstream_ended_it, row "no length, closed in an event": check heads.size() == (row.resumed_ ? 2u : 1u) has failed [1 != 2] stream_that_broke_off_for_good_does_not_look_complete, same row: check received.complete_ == !row.resumed_ has failed [true != false]

--- a/packages/server/include/chervilspring/detail/net/event_splitter.hpp
+++ b/packages/server/include/chervilspring/detail/net/event_splitter.hpp
@@ -32,6 +32,12 @@
     /// constructor.
     const std::string &lastId() const { return lastId_; }
 
+    /// @brief Whether the bytes after the last complete event are part of an event.
+    bool hasIncompleteEvent() const
+    {
+        return pending_.find_first_not_of("\r\n") != std::string::npos;
+    }
+
     /// @brief Whether the incomplete event is longer than maxEventBytes.
     bool isEventTooLong() const { return pending_.size() > maxEventBytes; }
 
--- a/packages/server/src/run_client.cpp
+++ b/packages/server/src/run_client.cpp
@@ -360,7 +360,9 @@
     }
     connection.stream_.expires_never();
     std::string lastEvents = run->eventSplitter_->takeEvents();
-    bool complete = run->parser_->is_done() && !error && isIntact();
+    // Without a length or chunks, a stream whose upstream failed may end like a complete one.
+    const bool endsInEvent = run->parser_->need_eof() && run->eventSplitter_->hasIncompleteEvent();
+    bool complete = run->parser_->is_done() && !error && isIntact() && !endsInEvent;
     if (complete) {
         lastEvents += run->eventSplitter_->takeRemainder();
         complete = isIntact();
@@ -381,6 +383,8 @@
         end.detail_ = "stream: an event exceeds the size limit";
     else if (run->eventSplitter_->hasGap())
         end.detail_ = "stream: events are missing after id " + end.lastEventId_;
+    else if (!error && endsInEvent)
+        end.detail_ = "stream: the connection was closed in an event";
     else
         end.detail_ = "stream: " + error.message();
 }
--- a/packages/server/tests/unit-direct_thread.cpp
+++ b/packages/server/tests/unit-direct_thread.cpp
@@ -274,6 +274,8 @@
      events(1, 4)},
     {"no length, whole", openHead + events(1, 4), ScriptEnd::Close, false, events(1, 4)},
     {"no length, reset", openHead + events(1, 2), ScriptEnd::Reset, true, events(1, 4)},
+    {"no length, closed in an event", openHead + events(1, 2) + half, ScriptEnd::Close, true,
+     events(1, 4)},
     {"event missing", streamHead + chunk(events(1, 2)) + chunk(events(4, 4)) + lastChunk,
      ScriptEnd::KeepOpen, true, events(1, 4)},
     {"event missing in one piece", streamHead + chunk(events(1, 2) + event(4)) + lastChunk,
