Resume a stream only after an event that has an id

What callers saw: a resumable stream whose events have no ids broke off; the next run began from the start, and the caller got the first events twice in a stream that ended as complete.

Cause: without an id Last-Event-Id is not sent, and the reducer retried whatever had been sent. The same holds if only the last event has no id.

Now the end of a run says whether another one can continue where it stopped; if not, the response is cut.

Failed before: stream_without_event_ids_is_not_resumed: check upstream.requestHeads().size() == 1u has failed [2 != 1]; check received.body_ == text has failed; check !received.complete_ has failed

--- a/packages/decision/include/chervilspring/detail/direct/direct.hpp
+++ b/packages/decision/include/chervilspring/detail/direct/direct.hpp
@@ -57,6 +57,8 @@
     unsigned status_ = 0; ///< HTTP status of the upstream's response; 0: none
     std::string lastEventId_; ///< id of the last event sent to the caller; empty: none
     std::string detail_; ///< text for the log
+    /// Another run can continue after lastEventId_ without repeating an event that was sent.
+    bool resumable_ = true;
 };
 
 /// @brief Event: the first event of a run is about to be sent to the caller.
--- a/packages/decision/src/direct/direct_runs.cpp
+++ b/packages/decision/src/direct/direct_runs.cpp
@@ -125,8 +125,8 @@
                         + " last_event=" + request.lastEventId_ + " detail=" + event.detail_);
     if (event.end_ == RunEnd::Failed && event.status_ == 0)
         onSuspectedCrash(state, request, effects);
-    const bool allowed =
-        isRepeatable(request) && request.possibleExecutions_ < request.route_->maxAttempts_;
+    const bool allowed = isRepeatable(request) && event.resumable_
+        && request.possibleExecutions_ < request.route_->maxAttempts_;
     if (allowed && tryUseRetry(state, now, request)) {
         retryRequest(state, now, event.token_, true, effects);
         return;
--- a/packages/decision/tests/unit-direct.cpp
+++ b/packages/decision/tests/unit-direct.cpp
@@ -193,6 +193,14 @@
     BOOST_TEST(effectsOf<RefuseCall>(effects).empty());
 }
 
+BOOST_AUTO_TEST_CASE(broken_stream_without_an_event_to_continue_after_is_aborted)
+{
+    DirectFixture fixture;
+    fixture.beginStream("resumable");
+    const auto effects = fixture.handle(RunEnded{1, 1, RunEnd::Broken, 200, "", "", false});
+    BOOST_TEST(effectsOf<AbortCall>(effects).size() == 1u);
+}
+
 struct BegunRow
 {
     RunEnd end_; ///< of the second run
--- a/packages/server/include/chervilspring/detail/net/event_splitter.hpp
+++ b/packages/server/include/chervilspring/detail/net/event_splitter.hpp
@@ -32,6 +32,10 @@
     /// constructor.
     const std::string &lastId() const { return lastId_; }
 
+    /// @brief Whether a stream that continues after lastId() repeats none of the returned events:
+    /// the last one with data had an id, or none was returned.
+    bool isResumable() const { return resumable_; }
+
     /// @brief Whether the bytes after the last complete event are part of an event.
     bool hasIncompleteEvent() const
     {
@@ -53,6 +57,7 @@
     std::string lastId_;
     std::optional<std::uint64_t> lastNumericId_; ///< lastId_ as a number, if it is one
     bool hasGap_ = false;
+    bool resumable_ = true; ///< see isResumable()
 };
 
 } // namespace chervilspring
--- a/packages/server/src/event_splitter.cpp
+++ b/packages/server/src/event_splitter.cpp
@@ -35,6 +35,12 @@
     return {};
 }
 
+// Receivers ignore events without data.
+bool hasData(std::string_view event)
+{
+    return event.starts_with("data") || event.find("\ndata") != std::string_view::npos;
+}
+
 } // namespace
 
 EventSplitter::EventSplitter(const std::string &lastEventId)
@@ -46,8 +52,10 @@
 bool EventSplitter::acceptEvent(std::string_view event)
 {
     const std::string_view id = eventId(event);
-    if (id.empty())
+    if (id.empty()) {
+        resumable_ = resumable_ && !hasData(event);
         return true;
+    }
     const auto number = parseNumber(id);
     if (number && lastNumericId_ && *number <= *lastNumericId_)
         return false;
@@ -57,6 +65,7 @@
     }
     lastId_ = id;
     lastNumericId_ = number;
+    resumable_ = true;
     return true;
 }
 
--- a/packages/server/src/run_client.cpp
+++ b/packages/server/src/run_client.cpp
@@ -368,6 +368,7 @@
         complete = isIntact();
     }
     end.lastEventId_ = run->eventSplitter_->lastId();
+    end.resumable_ = run->eventSplitter_->isResumable();
     if (callerReachable)
         callerReachable = co_await forwardEvents(run, std::move(lastEvents), complete);
     if (complete && callerReachable) {
--- a/packages/server/tests/unit-direct_thread.cpp
+++ b/packages/server/tests/unit-direct_thread.cpp
@@ -356,6 +356,23 @@
     BOOST_TEST(received.closed_ == !row.complete_);
 }
 
+// The events already sent cannot be told from those of another run.
+BOOST_AUTO_TEST_CASE(stream_without_event_ids_is_not_resumed)
+{
+    const std::string text = "data: token\n\n";
+    ScriptedUpstream upstream(
+        {Script{{{streamHead + chunk(text)}, {"", milliseconds(20)}}, ScriptEnd::Reset},
+         Script{{{streamHead + chunk(text + text) + lastChunk}}}});
+    TestEntry entry(upstream.port());
+    TestCaller caller(entry.port());
+    caller.send(request);
+    const Received received = caller.receive(seconds(3));
+    BOOST_TEST(upstream.requestHeads().size() == 1u);
+    BOOST_TEST(received.body_ == text);
+    BOOST_TEST(received.closed_);
+    BOOST_TEST(!received.complete_);
+}
+
 // The timeout passes while the first events are still being written.
 BOOST_AUTO_TEST_CASE(response_to_a_slow_reader_is_cut_at_the_timeout)
 {
--- a/packages/server/tests/unit-event_splitter.cpp
+++ b/packages/server/tests/unit-event_splitter.cpp
@@ -77,6 +77,37 @@
     BOOST_TEST(splitter.lastId() == "4"); // a stream that is resumed after it misses nothing
 }
 
+struct ResumableRow
+{
+    const char *bytes_;
+    bool resumable_;
+};
+
+std::ostream &operator<<(std::ostream &stream, const ResumableRow &row)
+{
+    return stream << '"' << row.bytes_ << '"';
+}
+
+const ResumableRow resumableTable[] = {
+    {"", true},
+    {"id: 1\ndata: a\n\n", true},
+    {"id: 1\ndata: a\n\n: comment\n\n", true},
+    {": comment\n\n", true},
+    {"data: a\n\n", false},
+    {"id: 1\ndata: a\n\ndata: b\n\n", false},
+    {"data: a\n\nid: 1\ndata: b\n\n", true},
+    {": comment\ndata: a\n\n", false},
+};
+
+BOOST_DATA_TEST_CASE(stream_is_resumable_only_after_an_event_with_an_id,
+                     boost::unit_test::data::make(resumableTable), row)
+{
+    EventSplitter splitter;
+    splitter.add(row.bytes_);
+    splitter.takeEvents();
+    BOOST_TEST(splitter.isResumable() == row.resumable_);
+}
+
 struct RemainderRow
 {
     const char *bytes_; ///< after the last complete event
