Move a silent stream only if another run may take over, else wait

What callers saw: a sound upstream that fell silent for more than a second in the middle of a resumable stream lost it. Its run was given up, and if no second run was allowed (attempts, retry budget, time), the caller's connection was closed, although the upstream would have gone on.

Cause: RunClient ended the run itself after a gap of 1 s, before the reducer was asked whether another run is allowed.

Now the silence is an event, RunSilent, and the run goes on. The reducer stops it, before it starts another one, only if the request may run again, has an attempt, 500 ms and budget left, the stream can continue after its last event, and the pool has an upstream that has not been tried. Otherwise it waits: the caller and the deadline decide. If the silence lasts, it is reported again after the same time, since budget may be there then.

The limit is 1,750 ms: above the second or so for which sound upstreams fall silent, so that a sound one isn't stopped, and below the two seconds without events after which callers give up a stream at the earliest, so that a frozen one can still be replaced in time. 1 s stops sound upstreams, and a limit of two seconds or more is of no use for the least patient callers.

New: silent_run_is_stopped_only_for_another_one, and RunSilent in guarantees_hold_in_random_sessions.

--- a/packages/decision/include/chervilspring/detail/direct/direct.hpp
+++ b/packages/decision/include/chervilspring/detail/direct/direct.hpp
@@ -68,6 +68,15 @@
     std::uint32_t attempt_ = 0; ///< number of the run
 };
 
+/// @brief Event: no bytes of a stream have arrived for StartRun::silenceLimit_. The run goes on.
+struct RunSilent
+{
+    std::uint64_t token_ = 0; ///< token of the request
+    std::uint32_t attempt_ = 0; ///< number of the run
+    std::string lastEventId_; ///< as in RunEnded
+    bool resumable_ = true; ///< as in RunEnded
+};
+
 /// @brief Event: result of probing whether an upstream accepts connections after it broke one.
 struct UpstreamProbed
 {
@@ -76,8 +85,8 @@
     bool reachable_ = false; ///< the upstream accepts connections
 };
 
-using DirectEvent = std::variant<UpstreamProbed, DirectCall, RunEnded, RunStarted, CallerGone,
-                                 PeerMessage, PeerLost, ViewChanged, Wake>;
+using DirectEvent = std::variant<UpstreamProbed, DirectCall, RunEnded, RunStarted, RunSilent,
+                                 CallerGone, PeerMessage, PeerLost, ViewChanged, Wake>;
 
 /// @brief Effect: send a request to an upstream.
 struct StartRun
@@ -94,7 +103,7 @@
     std::vector<std::string> inputs_; ///< handles of the stage results that the run needs
     std::string lastEventId_; ///< id of the event after which the stream resumes; empty: none
     std::uint32_t priority_ = 0; ///< 0 is first
-    nanoseconds gapLimit_{0}; ///< maximum time between events; 0: no limit
+    nanoseconds silenceLimit_{0}; ///< RunSilent is reported after this time; 0: never
     std::uint32_t connectionLimit_ = 0; ///< connections of this entry to the upstream; 0: no limit
 };
 
--- a/packages/decision/include/chervilspring/detail/direct/direct_steps.hpp
+++ b/packages/decision/include/chervilspring/detail/direct/direct_steps.hpp
@@ -93,6 +93,10 @@
 /// @brief Records that the caller gets the first event of a run and tells the scheduler.
 void onRunStarted(DirectState &state, const RunStarted &event, DirectEffects &effects);
 
+/// @brief Moves a stream to another upstream if that is allowed and can help; otherwise the silent
+/// run goes on.
+void onRunSilent(DirectState &state, Instant now, const RunSilent &event, DirectEffects &effects);
+
 /// @brief Handles a message from a scheduler.
 void onPeerMessage(DirectState &state, Instant now, const PeerMessage &event,
                    DirectEffects &effects);
--- a/packages/decision/src/direct/direct_runs.cpp
+++ b/packages/decision/src/direct/direct_runs.cpp
@@ -10,8 +10,10 @@
 constexpr nanoseconds proposalTimeout = seconds(3); // for crash reports and their withdrawal
 constexpr nanoseconds noUpstreamRetryAfter = milliseconds(300);
 constexpr nanoseconds refusedRetryAfter = milliseconds(200); // after upstreams refused a request
-// Longest time between events of a stream that can be resumed at another upstream.
-constexpr nanoseconds resumableGapLimit = seconds(1);
+// Silence after which a stream may be moved to another upstream. Sound upstreams fall silent for a
+// second or so, and callers give up a stream after two seconds without events at the earliest.
+constexpr nanoseconds streamSilenceLimit = milliseconds(1750);
+constexpr nanoseconds minResumeTime = milliseconds(500); // for which a stream is worth moving
 constexpr nanoseconds minRetryTime = milliseconds(20); // a run takes at least this long
 constexpr std::uint32_t maxRuns = 6; // of one request, including those that were not executed
 // Fraction of the retry budget that entries use: as their windows are not aligned, their retries
@@ -112,13 +114,34 @@
         effects.push_back(SubmitProposal{0, ClearSuspect{request.digest_}, proposalTimeout});
 }
 
+// Records that a request continues without the latest run, which may have been executed.
+void abandonRun(DirectRequest &request, const std::string &lastEventId)
+{
+    ++request.possibleExecutions_;
+    request.avoidedUpstreams_.push_back(request.upstream_);
+    if (!lastEventId.empty())
+        request.lastEventId_ = lastEventId;
+}
+
+// Whether the pool of a request has an upstream that the request has not been sent to.
+bool hasUntriedUpstream(const DirectState &state, const DirectRequest &request)
+{
+    const auto upstreams = state.table_->upstreamsByPool_.find(request.pool_);
+    if (upstreams == state.table_->upstreamsByPool_.end())
+        return false;
+    const auto &tried = request.avoidedUpstreams_;
+    return std::any_of(
+        upstreams->second.begin(), upstreams->second.end(), [&](const Upstream *upstream) {
+            return upstream->name_ != request.upstream_
+                && std::find(tried.begin(), tried.end(), upstream->name_) == tried.end();
+        });
+}
+
 // Handles a run that may have been executed but yielded no usable response.
 void onFailedRun(DirectState &state, Instant now, const RunEnded &event, DirectRequest &request,
                  DirectEffects &effects)
 {
-    ++request.possibleExecutions_;
-    request.avoidedUpstreams_.push_back(request.upstream_);
-    request.lastEventId_ = event.lastEventId_.empty() ? request.lastEventId_ : event.lastEventId_;
+    abandonRun(request, event.lastEventId_);
     addDecisionLine(effects, request, "run_failed",
                     "upstream=" + request.upstream_
                         + " took_ms=" + millisecondsText(now - request.runStartedAt_)
@@ -206,7 +229,7 @@
     run.lastEventId_ =
         request.lastEventId_.empty() ? request.call_.lastEventId_ : request.lastEventId_;
     run.priority_ = request.priority_;
-    run.gapLimit_ = run.streaming_ && run.repeatable_ ? resumableGapLimit : nanoseconds(0);
+    run.silenceLimit_ = run.streaming_ && run.repeatable_ ? streamSilenceLimit : nanoseconds(0);
     run.connectionLimit_ = pool ? connectionShare(state, *pool, now) : 0;
     addDecisionLine(effects, request, "route",
                     "route=" + route.name_ + " pool=" + request.pool_
@@ -286,6 +309,26 @@
     }
 }
 
+void onRunSilent(DirectState &state, Instant now, const RunSilent &event, DirectEffects &effects)
+{
+    DirectRequest *request = findRun(state, event.token_, event.attempt_);
+    if (!request || request->phase_ != DirectPhase::Running)
+        return;
+    const bool useful = isRepeatable(*request) && event.resumable_
+        && request->possibleExecutions_ + 1 < request->route_->maxAttempts_
+        && request->deadlineAt_ - now > minResumeTime && hasUntriedUpstream(state, *request);
+    const bool moved = useful && tryUseRetry(state, now, *request);
+    addDecisionLine(effects, *request, "silent",
+                    "upstream=" + request->upstream_ + " last_event=" + event.lastEventId_
+                        + " moved=" + (moved ? "true" : "false"));
+    if (!moved)
+        return;
+    effects.push_back(StopRun{event.token_, event.attempt_});
+    recordRunEnd(state.upstreamStats_, request->upstream_, now - request->runStartedAt_, true, now);
+    abandonRun(*request, event.lastEventId_);
+    retryRequest(state, now, event.token_, true, effects);
+}
+
 void onRunStarted(DirectState &state, const RunStarted &event, DirectEffects &effects)
 {
     DirectRequest *request = findRun(state, event.token_, event.attempt_);
--- a/packages/decision/tests/unit-direct.cpp
+++ b/packages/decision/tests/unit-direct.cpp
@@ -193,6 +193,68 @@
     BOOST_TEST(effectsOf<RefuseCall>(effects).empty());
 }
 
+struct SilenceRow
+{
+    const char *name_;
+    std::uint32_t maxAttempts_;
+    milliseconds remaining_; ///< time left for the request
+    bool budget_; ///< the retry budget is not used up
+    bool resumable_; ///< the stream can continue after its last event
+    std::size_t upstreams_; ///< upstreams in the pool
+    bool resumed_;
+};
+
+std::ostream &operator<<(std::ostream &stream, const SilenceRow &row)
+{
+    return stream << row.name_;
+}
+
+// A run that has become silent is stopped only if another one can take over.
+const SilenceRow silenceTable[] = {
+    {"another run", 2, milliseconds(1000), true, true, 3, true},
+    {"no attempt left", 1, milliseconds(1000), true, true, 3, false},
+    {"no time left", 2, milliseconds(400), true, true, 3, false},
+    {"no budget left", 2, milliseconds(1000), false, true, 3, false},
+    {"no event to continue after", 2, milliseconds(1000), true, false, 3, false},
+    {"no other upstream", 2, milliseconds(1000), true, true, 1, false},
+};
+
+BOOST_DATA_TEST_CASE(silent_run_is_stopped_only_for_another_one, data::make(silenceTable), row)
+{
+    DirectFixture fixture(1, row.maxAttempts_);
+    fixture.beginStream("resumable");
+    auto view = std::make_shared<View>(*testView(row.maxAttempts_));
+    view->version_ = 8;
+    for (std::size_t number = 3; number > row.upstreams_; --number)
+        std::erase_if(view->upstreams_, [&](const Upstream &upstream) {
+            return upstream.name_ == "engine-" + std::to_string(number);
+        });
+    ViewChanged changed;
+    changed.view_ = view;
+    changed.share_ = row.budget_ ? wholeShare : 0;
+    changed.shareExpires_ = fixture.now_ + seconds(1000);
+    changed.leader_ = "c1";
+    changed.controlNames_ = {"c1", "c2"};
+    fixture.handle(changed);
+    fixture.now_ += milliseconds(1500) - row.remaining_;
+    const auto effects = fixture.handle(RunSilent{1, 1, "4", row.resumable_});
+    const std::size_t resumed = row.resumed_ ? 1 : 0;
+    BOOST_TEST(effectsOf<StopRun>(effects).size() == resumed);
+    BOOST_TEST(effectsOf<SendToPeer>(effects).size() == resumed);
+    BOOST_TEST(effectsOf<AbortCall>(effects).empty());
+    BOOST_TEST(fixture.state_.requests_.size() == 1u);
+    if (!row.resumed_) { // the run goes on
+        const auto end = fixture.handle(RunEnded{1, 1, RunEnd::Delivered, 200, "9", ""});
+        BOOST_REQUIRE(effectsOf<DirectEnded>(end).size() == 1u);
+        BOOST_TEST(effectsOf<DirectEnded>(end)[0].outcome_ == "delivered");
+        return;
+    }
+    BOOST_TEST(std::holds_alternative<StopRun>(effects[1])); // before the plan for the next run
+    const auto run = effectsOf<StartRun>(fixture.grant("engine-2"));
+    BOOST_REQUIRE(run.size() == 1u);
+    BOOST_TEST(run[0].lastEventId_ == "4");
+}
+
 BOOST_AUTO_TEST_CASE(broken_stream_without_an_event_to_continue_after_is_aborted)
 {
     DirectFixture fixture;
@@ -523,6 +585,10 @@
                     begun.insert(token);
                     fixture.handle(RunStarted{token, request.attempt_});
                 }
+                if (begun.contains(token) && random() % 3 == 0)
+                    fixture.handle(RunSilent{token, request.attempt_, "2"});
+                if (request.phase_ != DirectPhase::Running)
+                    continue; // the stream moves to another upstream
                 const RunEnd end = ends[random() % std::size(ends)];
                 if (end == RunEnd::Held)
                     heldAnswers[token] = request.attempt_;
--- a/packages/server/include/chervilspring/detail/net/run_client.hpp
+++ b/packages/server/include/chervilspring/detail/net/run_client.hpp
@@ -18,6 +18,8 @@
 {
     /// Called before the first events of a run are sent to the caller; it may stop the run.
     std::function<void(const RunStarted &)> onStarted_;
+    /// Called when a stream has been silent, see StartRun::silenceLimit_; it may stop the run.
+    std::function<void(const RunSilent &)> onSilent_;
     /// Called when a run has ended by itself, not by stop().
     std::function<void(const RunEnded &)> onEnded_;
 };
@@ -76,6 +78,8 @@
     /// Forwards complete events, and the end of the stream if last is set. Returns false if the run
     /// was stopped or the caller is no longer reachable.
     boost::asio::awaitable<bool> forwardEvents(RunPointer run, std::string events, bool last);
+    /// Reports when no bytes arrive for the silence limit, once events were forwarded.
+    void watchSilence(const RunPointer &run);
     void sendRequest(const RunPointer &run);
     void keepConnection(const RunPointer &run);
 
--- a/packages/server/src/run_client.cpp
+++ b/packages/server/src/run_client.cpp
@@ -38,6 +38,8 @@
 
 struct RunClient::Run
 {
+    explicit Run(asio::io_context &context) : silenceTimer_(context) { }
+
     StartRun command_;
     DirectExchangePointer exchange_;
     UpstreamConnectionPointer connection_;
@@ -49,6 +51,8 @@
     MessageSize answerSize_; ///< bytes of the answer read so far
     std::unique_ptr<EventSplitter> eventSplitter_; ///< set if the answer is an event stream
     std::string answerHead_; ///< answer head for the caller; empty once it was sent
+    asio::steady_timer silenceTimer_;
+    bool reading_ = false; ///< waits for bytes of a stream
 };
 
 struct RunClient::HeldAnswer
@@ -87,7 +91,7 @@
 
 void RunClient::start(StartRun command, DirectExchangePointer exchange)
 {
-    auto run = std::make_shared<Run>();
+    auto run = std::make_shared<Run>(context_);
     run->command_ = std::move(command);
     run->exchange_ = std::move(exchange);
     run->requestHead_ = forwardedRequestHead(run->exchange_->request(), protocol_, run->command_);
@@ -330,6 +334,27 @@
     co_return co_await run->exchange_->stream(std::move(head), std::move(events), last);
 }
 
+void RunClient::watchSilence(const RunPointer &run)
+{
+    const StartRun &command = run->command_;
+    if (command.silenceLimit_ == nanoseconds(0) || !run->answerHead_.empty())
+        return;
+    run->silenceTimer_.expires_after(command.silenceLimit_);
+    run->silenceTimer_.async_wait([this, run](boost::system::error_code error) {
+        // Bytes may have arrived, and the timer may have been set again, while this handler was
+        // waiting to be called.
+        const bool silent =
+            run->reading_ && run->silenceTimer_.expiry() <= asio::steady_timer::clock_type::now();
+        if (error || !silent)
+            return;
+        handlers_.onSilent_(RunSilent{run->command_.token_, run->command_.attempt_,
+                                      run->eventSplitter_->lastId(),
+                                      run->eventSplitter_->isResumable()});
+        if (!run->stopped_)
+            watchSilence(run);
+    });
+}
+
 asio::awaitable<void> RunClient::forwardStream(RunPointer run, RunEnded &end)
 {
     UpstreamConnection &connection = *run->connection_;
@@ -345,11 +370,12 @@
     while (!run->parser_->is_done() && callerReachable && !error && isIntact()) {
         run->parser_->get().body().data = readBuffer.data();
         run->parser_->get().body().size = readBuffer.size();
-        // The limit applies between events, that is once the first ones were forwarded.
-        if (run->command_.gapLimit_ > nanoseconds(0) && run->answerHead_.empty())
-            connection.stream_.expires_after(run->command_.gapLimit_);
+        run->reading_ = true;
+        watchSilence(run);
         co_await parseOrReadSome(connection.stream_, connection.buffer_, *run->parser_,
                                  run->answerSize_, error);
+        run->reading_ = false;
+        run->silenceTimer_.cancel();
         if (error == http::error::need_buffer)
             error = {};
         const std::size_t count = readBuffer.size() - run->parser_->get().body().size;
@@ -358,7 +384,6 @@
         if (!run->parser_->is_done() && count > 0)
             callerReachable = co_await forwardEvents(run, run->eventSplitter_->takeEvents(), false);
     }
-    connection.stream_.expires_never();
     std::string lastEvents = run->eventSplitter_->takeEvents();
     // Without a length or chunks, a stream whose upstream failed may end like a complete one.
     const bool endsInEvent = run->parser_->need_eof() && run->eventSplitter_->hasIncompleteEvent();
--- a/packages/server/tests/unit-direct_thread.cpp
+++ b/packages/server/tests/unit-direct_thread.cpp
@@ -405,4 +405,44 @@
     BOOST_TEST(upstream.connectionLog() == log, boost::test_tools::per_element());
 }
 
+struct SilenceRow
+{
+    milliseconds silence_; ///< between the second and the third event
+    std::uint32_t maxAttempts_;
+};
+
+std::ostream &operator<<(std::ostream &stream, const SilenceRow &row)
+{
+    return stream << row.silence_.count() << " ms, attempts " << row.maxAttempts_;
+}
+
+const SilenceRow silences[] = {
+    {milliseconds(1300), 1}, {milliseconds(1300), 2}, {milliseconds(2500), 1}};
+
+BOOST_DATA_TEST_CASE(silent_upstream_that_goes_on_completes_its_stream, data::make(silences), row)
+{
+    ScriptedUpstream upstream({Script{
+        {{streamHead + chunk(events(1, 2))}, {chunk(events(3, 4)) + lastChunk, row.silence_}}}});
+    TestEntry entry(upstream.port(), row.maxAttempts_);
+    TestCaller caller(entry.port());
+    caller.send(request);
+    const Received received = caller.receive();
+    BOOST_TEST(upstream.requestHeads().size() == 1u);
+    BOOST_TEST(received.body_ == events(1, 4));
+    BOOST_TEST(received.complete_);
+}
+
+BOOST_AUTO_TEST_CASE(stream_of_a_frozen_upstream_is_resumed_after_its_run_was_stopped)
+{
+    ScriptedUpstream upstream({Script{{{streamHead + chunk(events(1, 2))}}}, resumedStream()});
+    TestEntry entry(upstream.port());
+    TestCaller caller(entry.port());
+    caller.send(request);
+    const Received received = caller.receive();
+    const std::vector<std::string> log = {"request 1", "closed 1", "request 2"};
+    BOOST_TEST(upstream.connectionLog() == log, boost::test_tools::per_element());
+    BOOST_TEST(received.body_ == events(1, 4));
+    BOOST_TEST(received.complete_);
+}
+
 } // namespace
