--- a/packages/server/tests/scripted_upstream.cpp
+++ b/packages/server/tests/timed_upstream.cpp
@@ -1,4 +1,4 @@
-#include "scripted_upstream.hpp"
+#include "timed_upstream.hpp"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -14,8 +14,8 @@
 using asio::use_awaitable;
 using asio::ip::tcp;
 
-ScriptedUpstream::ScriptedUpstream(std::vector<Script> scripts)
-    : scripts_(std::move(scripts)),
+TimedUpstream::TimedUpstream(std::vector<TimedAnswer> answers)
+    : answers_(std::move(answers)),
       acceptor_(context_, tcp::endpoint(asio::ip::address_v4::loopback(), 0)),
       port_(acceptor_.local_endpoint().port())
 {
@@ -23,31 +23,31 @@
     thread_ = std::thread([this] { context_.run(); });
 }
 
-ScriptedUpstream::~ScriptedUpstream()
+TimedUpstream::~TimedUpstream()
 {
     context_.stop();
     thread_.join();
 }
 
-std::vector<std::string> ScriptedUpstream::requestHeads() const
+std::vector<std::string> TimedUpstream::requestHeads() const
 {
     const std::lock_guard lock(mutex_);
     return requestHeads_;
 }
 
-std::vector<std::string> ScriptedUpstream::connectionLog() const
+std::vector<std::string> TimedUpstream::connectionLog() const
 {
     const std::lock_guard lock(mutex_);
     return connectionLog_;
 }
 
-void ScriptedUpstream::note(const std::string &entry)
+void TimedUpstream::note(const std::string &entry)
 {
     const std::lock_guard lock(mutex_);
     connectionLog_.push_back(entry);
 }
 
-asio::awaitable<void> ScriptedUpstream::acceptLoop()
+asio::awaitable<void> TimedUpstream::acceptLoop()
 {
     while (true) {
         tcp::socket socket = co_await acceptor_.async_accept(use_awaitable);
@@ -55,7 +55,7 @@
     }
 }
 
-asio::awaitable<void> ScriptedUpstream::serve(tcp::socket socket)
+asio::awaitable<void> TimedUpstream::serve(tcp::socket socket)
 {
     std::string received;
     boost::system::error_code error;
@@ -76,19 +76,19 @@
         }
         received.erase(0, length);
         note("request " + std::to_string(number));
-        if (number > scripts_.size())
+        if (number > answers_.size())
             co_return;
-        const Script &script = scripts_[number - 1];
-        if (!co_await play(socket, number, script))
+        const TimedAnswer &answer = answers_[number - 1];
+        if (!co_await send(socket, number, answer))
             co_return;
     }
 }
 
-asio::awaitable<bool> ScriptedUpstream::play(tcp::socket &socket, std::size_t number,
-                                             const Script &script)
+asio::awaitable<bool> TimedUpstream::send(tcp::socket &socket, std::size_t number,
+                                          const TimedAnswer &answer)
 {
     boost::system::error_code error;
-    for (const ScriptStep &step : script.steps_) {
+    for (const TimedBytes &step : answer.steps_) {
         // A peer that closes the connection ends the pause.
         asio::steady_timer pause(context_, step.pause_);
         bool closed = false;
@@ -108,11 +108,11 @@
         if (error)
             co_return false;
     }
-    if (script.end_ == ScriptEnd::Reset)
+    if (answer.end_ == AnswerEnd::Reset)
         socket.set_option(asio::socket_base::linger(true, 0), error);
-    if (script.end_ != ScriptEnd::KeepOpen)
+    if (answer.end_ != AnswerEnd::KeepOpen)
         socket.close(error);
-    co_return script.end_ == ScriptEnd::KeepOpen;
+    co_return answer.end_ == AnswerEnd::KeepOpen;
 }
 
 } // namespace chervilspring
--- a/packages/server/tests/scripted_upstream.hpp
+++ b/packages/server/tests/timed_upstream.hpp
@@ -1,5 +1,5 @@
 /// @file
-/// @brief An upstream that answers each request with a script of bytes and pauses.
+/// @brief An upstream that answers each request with given bytes and pauses.
 #pragma once
 
 #include "chervilspring/time.hpp"
@@ -16,31 +16,31 @@
 namespace chervilspring {
 
 /// @brief Bytes of an answer and the time that passes before they are sent.
-struct ScriptStep
+struct TimedBytes
 {
     std::string bytes_;
     milliseconds pause_{0};
 };
 
 /// @brief What the upstream does with the connection after the last step.
-enum class ScriptEnd { KeepOpen, Close, Reset };
+enum class AnswerEnd { KeepOpen, Close, Reset };
 
 /// @brief Answer to one request.
-struct Script
+struct TimedAnswer
 {
-    std::vector<ScriptStep> steps_;
-    ScriptEnd end_ = ScriptEnd::KeepOpen;
+    std::vector<TimedBytes> steps_;
+    AnswerEnd end_ = AnswerEnd::KeepOpen;
 };
 
-/// @brief Listens on loopback and plays the n-th script for the n-th request. Closes the connection
-/// of a request without a script.
-class ScriptedUpstream
+/// @brief Listens on loopback and sends the n-th answer to the n-th request. Closes the connection
+/// of a request without an answer.
+class TimedUpstream
 {
 public:
-    explicit ScriptedUpstream(std::vector<Script> scripts);
-    ~ScriptedUpstream();
-    ScriptedUpstream(const ScriptedUpstream &) = delete;
-    ScriptedUpstream &operator=(const ScriptedUpstream &) = delete;
+    explicit TimedUpstream(std::vector<TimedAnswer> answers);
+    ~TimedUpstream();
+    TimedUpstream(const TimedUpstream &) = delete;
+    TimedUpstream &operator=(const TimedUpstream &) = delete;
 
     std::uint16_t port() const { return port_; }
 
@@ -54,12 +54,12 @@
 private:
     boost::asio::awaitable<void> acceptLoop();
     boost::asio::awaitable<void> serve(boost::asio::ip::tcp::socket socket);
-    /// Plays a script. Returns whether the connection is still open.
-    boost::asio::awaitable<bool> play(boost::asio::ip::tcp::socket &socket, std::size_t number,
-                                      const Script &script);
+    /// Sends an answer. Returns whether the connection is still open.
+    boost::asio::awaitable<bool> send(boost::asio::ip::tcp::socket &socket, std::size_t number,
+                                      const TimedAnswer &answer);
     void note(const std::string &entry);
 
-    const std::vector<Script> scripts_;
+    const std::vector<TimedAnswer> answers_;
     boost::asio::io_context context_{1};
     boost::asio::ip::tcp::acceptor acceptor_;
     std::uint16_t port_ = 0;
--- a/packages/server/tests/unit-direct_thread.cpp
+++ b/packages/server/tests/unit-direct_thread.cpp
@@ -1,9 +1,9 @@
-// Tests detail/process/direct_thread.hpp with scripted upstreams: responses that break off after
+// Tests detail/process/direct_thread.hpp with timed upstreams: responses that break off after
 // they have begun, resumed streams, silent upstreams and callers that read slowly.
 #include "chervilspring/detail/control/fleet_state.hpp"
 #include "chervilspring/detail/process/direct_thread.hpp"
-#include "scripted_upstream.hpp"
 #include "test_caller.hpp"
+#include "timed_upstream.hpp"
 
 #include <boost/test/data/monomorphic.hpp>
 #include <boost/test/data/test_case.hpp>
@@ -94,7 +94,7 @@
     return settings;
 }
 
-// An entry whose configuration names a scripted upstream, without any other process.
+// An entry whose configuration names a timed upstream, without any other process.
 class TestEntry
 {
 public:
@@ -157,16 +157,16 @@
 }
 
 // A stream that breaks off in the middle of its third event.
-Script brokenStream()
+TimedAnswer brokenStream()
 {
-    return Script{{{streamHead + chunk(events(1, 2))}, {chunk("id: 3\nda"), milliseconds(20)}},
-                  ScriptEnd::Reset};
+    return TimedAnswer{{{streamHead + chunk(events(1, 2))}, {chunk("id: 3\nda"), milliseconds(20)}},
+                       AnswerEnd::Reset};
 }
 
 // The end of that stream.
-Script resumedStream()
+TimedAnswer resumedStream()
 {
-    return Script{{{streamHead + chunk(events(3, 4)) + lastChunk}}};
+    return TimedAnswer{{{streamHead + chunk(events(3, 4)) + lastChunk}}};
 }
 
 bool hasHeader(const std::string &head, const std::string &line)
@@ -197,7 +197,7 @@
 BOOST_DATA_TEST_CASE(broken_stream_is_cut_if_the_last_run_sends_no_stream, data::make(wholeAnswers),
                      row)
 {
-    ScriptedUpstream upstream({brokenStream(), Script{{{row.answer_}}, ScriptEnd::Close}});
+    TimedUpstream upstream({brokenStream(), TimedAnswer{{{row.answer_}}, AnswerEnd::Close}});
     TestEntry entry(upstream.port());
     TestCaller caller(entry.port());
     caller.send(request);
@@ -212,8 +212,8 @@
 BOOST_DATA_TEST_CASE(broken_stream_is_resumed_after_a_run_that_sends_no_stream,
                      data::make(wholeAnswers), row)
 {
-    ScriptedUpstream upstream(
-        {brokenStream(), Script{{{row.answer_}}, ScriptEnd::Close}, resumedStream()});
+    TimedUpstream upstream(
+        {brokenStream(), TimedAnswer{{{row.answer_}}, AnswerEnd::Close}, resumedStream()});
     TestEntry entry(upstream.port(), 3);
     TestCaller caller(entry.port());
     caller.send(request);
@@ -230,7 +230,7 @@
 {
     const char *name_;
     std::string answer_; ///< bytes of the first run
-    ScriptEnd end_; ///< what the upstream does after them
+    AnswerEnd end_; ///< what the upstream does after them
     bool resumed_; ///< the stream is broken and continues after event 2
     std::string body_; ///< body that the caller gets
 };
@@ -253,48 +253,48 @@
 
 // How the end of a stream is recognised, and what the caller gets if it is not a whole one.
 const StreamRow streamEnds[] = {
-    {"chunks, whole", streamHead + chunk(events(1, 4)) + lastChunk, ScriptEnd::KeepOpen, false,
+    {"chunks, whole", streamHead + chunk(events(1, 4)) + lastChunk, AnswerEnd::KeepOpen, false,
      events(1, 4)},
-    {"chunks, closed", streamHead + chunk(events(1, 2)), ScriptEnd::Close, true, events(1, 4)},
-    {"chunks, closed in an event", streamHead + chunk(events(1, 2) + half), ScriptEnd::Close, true,
+    {"chunks, closed", streamHead + chunk(events(1, 2)), AnswerEnd::Close, true, events(1, 4)},
+    {"chunks, closed in an event", streamHead + chunk(events(1, 2) + half), AnswerEnd::Close, true,
      events(1, 4)},
-    {"chunks, reset", streamHead + chunk(events(1, 2)), ScriptEnd::Reset, true, events(1, 4)},
+    {"chunks, reset", streamHead + chunk(events(1, 2)), AnswerEnd::Reset, true, events(1, 4)},
     {"chunks, no bytes of a stream", streamHead + chunk(events(1, 2)) + "HTTP/1.1 500 Failed\r\n",
-     ScriptEnd::KeepOpen, true, events(1, 4)},
+     AnswerEnd::KeepOpen, true, events(1, 4)},
     {"chunks, last event without an end",
-     streamHead + chunk(events(1, 2) + unendedEvent) + lastChunk, ScriptEnd::KeepOpen, false,
+     streamHead + chunk(events(1, 2) + unendedEvent) + lastChunk, AnswerEnd::KeepOpen, false,
      events(1, 2) + unendedEvent},
-    {"length, whole", lengthHead(events(1, 4).size()) + events(1, 4), ScriptEnd::KeepOpen, false,
+    {"length, whole", lengthHead(events(1, 4).size()) + events(1, 4), AnswerEnd::KeepOpen, false,
      events(1, 4)},
-    {"length, closed", lengthHead(events(1, 4).size()) + events(1, 2), ScriptEnd::Close, true,
+    {"length, closed", lengthHead(events(1, 4).size()) + events(1, 2), AnswerEnd::Close, true,
      events(1, 4)},
     {"length, closed in an event", lengthHead(events(1, 4).size()) + events(1, 2) + half,
-     ScriptEnd::Close, true, events(1, 4)},
-    {"length, reset", lengthHead(events(1, 4).size()) + events(1, 2), ScriptEnd::Reset, true,
+     AnswerEnd::Close, true, events(1, 4)},
+    {"length, reset", lengthHead(events(1, 4).size()) + events(1, 2), AnswerEnd::Reset, true,
      events(1, 4)},
-    {"no length, whole", openHead + events(1, 4), ScriptEnd::Close, false, events(1, 4)},
-    {"no length, reset", openHead + events(1, 2), ScriptEnd::Reset, true, events(1, 4)},
-    {"no length, closed in an event", openHead + events(1, 2) + half, ScriptEnd::Close, true,
+    {"no length, whole", openHead + events(1, 4), AnswerEnd::Close, false, events(1, 4)},
+    {"no length, reset", openHead + events(1, 2), AnswerEnd::Reset, true, events(1, 4)},
+    {"no length, closed in an event", openHead + events(1, 2) + half, AnswerEnd::Close, true,
      events(1, 4)},
     {"event missing", streamHead + chunk(events(1, 2)) + chunk(events(4, 4)) + lastChunk,
-     ScriptEnd::KeepOpen, true, events(1, 4)},
+     AnswerEnd::KeepOpen, true, events(1, 4)},
     {"event missing in one piece", streamHead + chunk(events(1, 2) + event(4)) + lastChunk,
-     ScriptEnd::KeepOpen, true, events(1, 4)},
+     AnswerEnd::KeepOpen, true, events(1, 4)},
     {"last event without an end missing",
-     streamHead + chunk(events(1, 2) + "id: 4\ndata: last") + lastChunk, ScriptEnd::KeepOpen, true,
+     streamHead + chunk(events(1, 2) + "id: 4\ndata: last") + lastChunk, AnswerEnd::KeepOpen, true,
      events(1, 4)},
 };
 
 // A pause separates the events from the end, so that events are forwarded before the stream ends.
-Script withPause(const std::string &answer, ScriptEnd end)
+TimedAnswer withPause(const std::string &answer, AnswerEnd end)
 {
     const std::size_t split = answer.find(event(2)) + event(2).size();
-    return Script{{{answer.substr(0, split)}, {answer.substr(split), milliseconds(30)}}, end};
+    return TimedAnswer{{{answer.substr(0, split)}, {answer.substr(split), milliseconds(30)}}, end};
 }
 
 BOOST_DATA_TEST_CASE(stream_is_complete_only_if_the_upstream_ended_it, data::make(streamEnds), row)
 {
-    ScriptedUpstream upstream({withPause(row.answer_, row.end_), resumedStream()});
+    TimedUpstream upstream({withPause(row.answer_, row.end_), resumedStream()});
     TestEntry entry(upstream.port());
     TestCaller caller(entry.port());
     caller.send(request);
@@ -310,7 +310,7 @@
 BOOST_DATA_TEST_CASE(stream_that_broke_off_for_good_does_not_look_complete, data::make(streamEnds),
                      row)
 {
-    ScriptedUpstream upstream({withPause(row.answer_, row.end_)});
+    TimedUpstream upstream({withPause(row.answer_, row.end_)});
     TestEntry entry(upstream.port(), 1);
     TestCaller caller(entry.port());
     caller.send(request);
@@ -346,7 +346,7 @@
 BOOST_DATA_TEST_CASE(resumed_stream_continues_after_the_last_event_only, data::make(resumedAnswers),
                      row)
 {
-    ScriptedUpstream upstream({brokenStream(), Script{{{row.resumed_}}}});
+    TimedUpstream upstream({brokenStream(), TimedAnswer{{{row.resumed_}}}});
     TestEntry entry(upstream.port());
     TestCaller caller(entry.port());
     caller.send(request);
@@ -360,9 +360,9 @@
 BOOST_AUTO_TEST_CASE(stream_without_event_ids_is_not_resumed)
 {
     const std::string text = "data: token\n\n";
-    ScriptedUpstream upstream(
-        {Script{{{streamHead + chunk(text)}, {"", milliseconds(20)}}, ScriptEnd::Reset},
-         Script{{{streamHead + chunk(text + text) + lastChunk}}}});
+    TimedUpstream upstream(
+        {TimedAnswer{{{streamHead + chunk(text)}, {"", milliseconds(20)}}, AnswerEnd::Reset},
+         TimedAnswer{{{streamHead + chunk(text + text) + lastChunk}}}});
     TestEntry entry(upstream.port());
     TestCaller caller(entry.port());
     caller.send(request);
@@ -377,7 +377,7 @@
 BOOST_AUTO_TEST_CASE(response_to_a_slow_reader_is_cut_at_the_timeout)
 {
     const std::string largeEvent = event(1, std::string(240 << 10, 'x'));
-    ScriptedUpstream upstream({Script{{{streamHead + chunk(largeEvent)}}}});
+    TimedUpstream upstream({TimedAnswer{{{streamHead + chunk(largeEvent)}}}});
     TestEntry entry(upstream.port(), 1, milliseconds(700));
     TestCaller caller(entry.port(), CallerBuffers::Small);
     caller.send(request);
@@ -391,10 +391,10 @@
 // A byte of a next request keeps the entry from noticing the reset before it writes.
 BOOST_AUTO_TEST_CASE(stream_is_not_resumed_for_a_caller_that_has_left)
 {
-    Script stream{{{streamHead + chunk(events(1, 2))}}};
+    TimedAnswer stream{{{streamHead + chunk(events(1, 2))}}};
     for (int id = 3; id <= 12; ++id)
         stream.steps_.push_back({chunk(event(id)), milliseconds(50)});
-    ScriptedUpstream upstream({stream, stream});
+    TimedUpstream upstream({stream, stream});
     TestEntry entry(upstream.port());
     TestCaller caller(entry.port());
     caller.send(request + "G");
@@ -421,7 +421,7 @@
 
 BOOST_DATA_TEST_CASE(silent_upstream_that_goes_on_completes_its_stream, data::make(silences), row)
 {
-    ScriptedUpstream upstream({Script{
+    TimedUpstream upstream({TimedAnswer{
         {{streamHead + chunk(events(1, 2))}, {chunk(events(3, 4)) + lastChunk, row.silence_}}}});
     TestEntry entry(upstream.port(), row.maxAttempts_);
     TestCaller caller(entry.port());
@@ -434,7 +434,7 @@
 
 BOOST_AUTO_TEST_CASE(stream_of_a_frozen_upstream_is_resumed_after_its_run_was_stopped)
 {
-    ScriptedUpstream upstream({Script{{{streamHead + chunk(events(1, 2))}}}, resumedStream()});
+    TimedUpstream upstream({TimedAnswer{{{streamHead + chunk(events(1, 2))}}}, resumedStream()});
     TestEntry entry(upstream.port());
     TestCaller caller(entry.port());
     caller.send(request);
