--- a/packages/decision/include/chervilspring/detail/direct/direct.hpp
+++ b/packages/decision/include/chervilspring/detail/direct/direct.hpp
@@ -46,6 +46,7 @@
     Failed, ///< no usable response; the upstream may have executed the request
     Broken, ///< the stream ended early, after events were sent to the caller
     TimedOut, ///< the time limit of the run expired
+    CallerGone, ///< the caller is no longer reachable; its exchange has ended
 };
 
 /// @brief Event: a run ended, or its response is held back.
@@ -57,15 +58,26 @@
     unsigned status_ = 0; ///< HTTP status of the upstream's response; 0: none
     std::string lastEventId_; ///< id of the last event sent to the caller; empty: none
     std::string detail_; ///< text for the log
+    /// Another run can continue after lastEventId_ without repeating an event that was sent.
+    bool resumable_ = true;
 };
 
-/// @brief Event: the first event of a stream was sent to the caller.
+/// @brief Event: the first event of a run is about to be sent to the caller.
 struct RunStarted
 {
     std::uint64_t token_ = 0; ///< token of the request
     std::uint32_t attempt_ = 0; ///< number of the run
 };
 
+/// @brief Event: no bytes of a stream have arrived for StartRun::silenceLimit_. The run goes on.
+struct RunSilent
+{
+    std::uint64_t token_ = 0; ///< token of the request
+    std::uint32_t attempt_ = 0; ///< number of the run
+    std::string lastEventId_; ///< as in RunEnded
+    bool resumable_ = true; ///< as in RunEnded
+};
+
 /// @brief Event: result of probing whether an upstream accepts connections after it broke one.
 struct UpstreamProbed
 {
@@ -80,8 +92,8 @@
     Instant exitAt_{}; ///< when the requests that are still unfinished are ended
 };
 
-using DirectEvent = std::variant<UpstreamProbed, DirectCall, RunEnded, RunStarted, CallerGone,
-                                 PeerMessage, PeerLost, ViewChanged, DirectStop, Wake>;
+using DirectEvent = std::variant<UpstreamProbed, DirectCall, RunEnded, RunStarted, RunSilent,
+                                 CallerGone, PeerMessage, PeerLost, ViewChanged, DirectStop, Wake>;
 
 /// @brief Effect: send a request to an upstream.
 struct StartRun
@@ -98,11 +110,11 @@
     std::vector<std::string> inputs_; ///< handles of the stage results that the run needs
     std::string lastEventId_; ///< id of the event after which the stream resumes; empty: none
     std::uint32_t priority_ = 0; ///< 0 is first
-    nanoseconds gapLimit_{0}; ///< maximum time between events; 0: no limit
+    nanoseconds silenceLimit_{0}; ///< RunSilent is reported after this time; 0: never
     std::uint32_t connectionLimit_ = 0; ///< connections of this entry to the upstream; 0: no limit
 };
 
-/// @brief Effect: cancel a run whose response is no longer needed.
+/// @brief Effect: cancel a run, or drop its held response, since the response is no longer needed.
 struct StopRun
 {
     std::uint64_t token_ = 0; ///< token of the request
@@ -185,7 +197,7 @@
     std::uint32_t priority_ = 0; ///< 0 is first
     std::uint64_t digest_ = 0; ///< digest of account, path and body; crashes are counted by it
     DirectPhase phase_ = DirectPhase::Planning;
-    bool responseStarted_ = false; ///< part of the response was sent to the caller
+    bool responseStarted_ = false; ///< part of the response was sent or is being sent
     Instant arrivedAt_{};
     Instant deadlineAt_{}; ///< the caller's deadline or the route's timeout, whichever is earlier
     std::uint32_t attempt_ = 0; ///< number of the latest run; 0: none
--- a/packages/decision/include/chervilspring/detail/direct/direct_steps.hpp
+++ b/packages/decision/include/chervilspring/detail/direct/direct_steps.hpp
@@ -94,9 +94,13 @@
 /// @brief Handles the end of a run: finishes the request, retries it or refuses it.
 void onRunEnded(DirectState &state, Instant now, const RunEnded &event, DirectEffects &effects);
 
-/// @brief Records that the first event of a stream was sent to the caller and tells the scheduler.
+/// @brief Records that the caller gets the first event of a run and tells the scheduler.
 void onRunStarted(DirectState &state, const RunStarted &event, DirectEffects &effects);
 
+/// @brief Moves a stream to another upstream if that is allowed and can help; otherwise the silent
+/// run goes on.
+void onRunSilent(DirectState &state, Instant now, const RunSilent &event, DirectEffects &effects);
+
 /// @brief Handles a message from a scheduler.
 void onPeerMessage(DirectState &state, Instant now, const PeerMessage &event,
                    DirectEffects &effects);
--- a/packages/decision/tests/unit-direct.cpp
+++ b/packages/decision/tests/unit-direct.cpp
@@ -113,6 +113,14 @@
                         PlanGrant{request.call_.id_, request.planRound_, upstream, 0, {"handle"}}});
     }
 
+    /// Sends a request whose run at engine-1 sends its first event.
+    void beginStream(const std::string &route)
+    {
+        call(route);
+        grant("engine-1");
+        handle(RunStarted{1, 1});
+    }
+
     DirectState state_;
     Instant now_ = Instant(seconds(1000));
     DirectEffects allEffects_;
@@ -181,20 +189,135 @@
 BOOST_AUTO_TEST_CASE(broken_stream_that_is_not_resumable_is_aborted)
 {
     DirectFixture fixture;
-    fixture.call("stream");
-    fixture.grant("engine-1");
-    fixture.handle(RunStarted{1, 1});
+    fixture.beginStream("stream");
     const auto effects = fixture.handle(RunEnded{1, 1, RunEnd::Broken, 200, "4", ""});
     BOOST_TEST(effectsOf<AbortCall>(effects).size() == 1u);
     BOOST_TEST(effectsOf<RefuseCall>(effects).empty());
 }
 
+struct SilenceRow
+{
+    const char *name_;
+    std::uint32_t maxAttempts_;
+    milliseconds remaining_; ///< time left for the request
+    bool budget_; ///< the retry budget is not used up
+    bool resumable_; ///< the stream can continue after its last event
+    std::size_t upstreams_; ///< upstreams in the pool
+    bool resumed_;
+};
+
+std::ostream &operator<<(std::ostream &stream, const SilenceRow &row)
+{
+    return stream << row.name_;
+}
+
+// A run that has become silent is stopped only if another one can take over.
+const SilenceRow silenceTable[] = {
+    {"another run", 2, milliseconds(1000), true, true, 3, true},
+    {"no attempt left", 1, milliseconds(1000), true, true, 3, false},
+    {"no time left", 2, milliseconds(400), true, true, 3, false},
+    {"no budget left", 2, milliseconds(1000), false, true, 3, false},
+    {"no event to continue after", 2, milliseconds(1000), true, false, 3, false},
+    {"no other upstream", 2, milliseconds(1000), true, true, 1, false},
+};
+
+BOOST_DATA_TEST_CASE(silent_run_is_stopped_only_for_another_one, data::make(silenceTable), row)
+{
+    DirectFixture fixture(1, row.maxAttempts_);
+    fixture.beginStream("resumable");
+    auto view = std::make_shared<View>(*testView(row.maxAttempts_));
+    view->version_ = 8;
+    for (std::size_t number = 3; number > row.upstreams_; --number)
+        std::erase_if(view->upstreams_, [&](const Upstream &upstream) {
+            return upstream.name_ == "engine-" + std::to_string(number);
+        });
+    ViewChanged changed;
+    changed.view_ = view;
+    changed.share_ = row.budget_ ? wholeShare : 0;
+    changed.shareExpires_ = fixture.now_ + seconds(1000);
+    changed.leader_ = "c1";
+    changed.controlNames_ = {"c1", "c2"};
+    fixture.handle(changed);
+    fixture.now_ += milliseconds(1500) - row.remaining_;
+    const auto effects = fixture.handle(RunSilent{1, 1, "4", row.resumable_});
+    const std::size_t resumed = row.resumed_ ? 1 : 0;
+    BOOST_TEST(effectsOf<StopRun>(effects).size() == resumed);
+    BOOST_TEST(effectsOf<SendToPeer>(effects).size() == resumed);
+    BOOST_TEST(effectsOf<AbortCall>(effects).empty());
+    BOOST_TEST(fixture.state_.requests_.size() == 1u);
+    if (!row.resumed_) { // the run goes on
+        const auto end = fixture.handle(RunEnded{1, 1, RunEnd::Delivered, 200, "9", ""});
+        BOOST_REQUIRE(effectsOf<DirectEnded>(end).size() == 1u);
+        BOOST_TEST(effectsOf<DirectEnded>(end)[0].outcome_ == "delivered");
+        return;
+    }
+    BOOST_TEST(std::holds_alternative<StopRun>(effects[1])); // before the plan for the next run
+    const auto run = effectsOf<StartRun>(fixture.grant("engine-2"));
+    BOOST_REQUIRE(run.size() == 1u);
+    BOOST_TEST(run[0].lastEventId_ == "4");
+}
+
+BOOST_AUTO_TEST_CASE(broken_stream_without_an_event_to_continue_after_is_aborted)
+{
+    DirectFixture fixture;
+    fixture.beginStream("resumable");
+    const auto effects = fixture.handle(RunEnded{1, 1, RunEnd::Broken, 200, "", "", false});
+    BOOST_TEST(effectsOf<AbortCall>(effects).size() == 1u);
+}
+
+struct BegunRow
+{
+    RunEnd end_; ///< of the second run
+    unsigned status_; ///< status of its response, 0: none
+    const char *outcome_;
+};
+
+std::ostream &operator<<(std::ostream &stream, const BegunRow &row)
+{
+    return stream << "end " << static_cast<int>(row.end_) << " status " << row.status_;
+}
+
+// What ends a resumed stream whose first run has sent events.
+const BegunRow begunTable[] = {
+    {RunEnd::Held, 500, "broken"},         {RunEnd::Held, 404, "broken"},
+    {RunEnd::Held, 200, "broken"},         {RunEnd::Failed, 0, "run_failed"},
+    {RunEnd::Broken, 200, "broken"},       {RunEnd::NotExecuted, 503, "upstreams_full"},
+    {RunEnd::NotSent, 0, "upstreams_full"}};
+
+BOOST_DATA_TEST_CASE(response_that_has_begun_is_cut_and_not_replaced, data::make(begunTable), row)
+{
+    DirectFixture fixture;
+    fixture.beginStream("resumable");
+    fixture.handle(RunEnded{1, 1, RunEnd::Broken, 200, "3", ""});
+    fixture.state_.settings_.retryRatio_ = 0; // the second run is the last one
+    fixture.state_.settings_.retrySlack_ = 0;
+    fixture.grant("engine-2");
+    fixture.now_ += milliseconds(1490); // too little time for a third run
+    const auto effects = fixture.handle(RunEnded{1, 2, row.end_, row.status_, "", ""});
+    BOOST_TEST(effectsOf<DeliverHeld>(effects).empty());
+    BOOST_TEST(effectsOf<RefuseCall>(effects).empty());
+    BOOST_TEST(effectsOf<AbortCall>(effects).size() == 1u);
+    BOOST_REQUIRE(effectsOf<DirectEnded>(effects).size() == 1u);
+    BOOST_TEST(effectsOf<DirectEnded>(effects)[0].outcome_ == row.outcome_);
+    const std::string line = effectsOf<DecisionLine>(effects).back().text_;
+    BOOST_TEST(line.find("response=cut status=0") != std::string::npos, line);
+}
+
+// An answer that is held for a run and neither delivered nor dropped would occupy memory for ever.
+BOOST_AUTO_TEST_CASE(held_answer_of_a_retried_run_is_dropped)
+{
+    DirectFixture fixture;
+    fixture.call("safe");
+    const auto effects = fixture.handle(RunEnded{1, 1, RunEnd::Held, 500, "", ""});
+    BOOST_TEST(effectsOf<StartRun>(effects).size() == 1u);
+    BOOST_REQUIRE(effectsOf<StopRun>(effects).size() == 1u);
+    BOOST_TEST(effectsOf<StopRun>(effects)[0].attempt_ == 1u);
+}
+
 BOOST_AUTO_TEST_CASE(resumed_stream_continues_after_the_last_delivered_event)
 {
     DirectFixture fixture;
-    fixture.call("resumable");
-    fixture.grant("engine-1");
-    fixture.handle(RunStarted{1, 1});
+    fixture.beginStream("resumable");
     fixture.handle(RunEnded{1, 1, RunEnd::Broken, 200, "17", ""});
     const auto effects = fixture.grant("engine-2");
     BOOST_REQUIRE(effectsOf<StartRun>(effects).size() == 1u);
@@ -366,6 +489,19 @@
     BOOST_TEST(std::holds_alternative<PlanEnd>(effectsOf<SendToPeer>(effects)[0].message_));
 }
 
+BOOST_AUTO_TEST_CASE(run_whose_caller_is_gone_is_neither_retried_nor_answered)
+{
+    DirectFixture fixture;
+    fixture.beginStream("resumable");
+    const auto effects = fixture.handle(RunEnded{1, 1, RunEnd::CallerGone, 200, "4", ""});
+    BOOST_TEST(effectsOf<AbortCall>(effects).empty());
+    BOOST_REQUIRE(effectsOf<SendToPeer>(effects).size() == 1u);
+    BOOST_TEST(std::holds_alternative<PlanEnd>(effectsOf<SendToPeer>(effects)[0].message_));
+    BOOST_REQUIRE(effectsOf<DirectEnded>(effects).size() == 1u);
+    BOOST_TEST(effectsOf<DirectEnded>(effects)[0].outcome_ == "caller_gone");
+    BOOST_TEST(fixture.state_.upstreamStats_.at("engine-1").failureRate_ == 0.0);
+}
+
 struct StopRow
 {
     const char *route_;
@@ -627,11 +763,15 @@
     DirectFixture fixture(static_cast<std::uint64_t>(seed), 3);
     std::mt19937_64 random(static_cast<std::uint64_t>(seed));
     const char *routes[] = {"safe", "unsafe", "stream", "resumable"};
-    const RunEnd ends[] = {RunEnd::Delivered,  RunEnd::Held,   RunEnd::NotSent, RunEnd::NotExecuted,
-                           RunEnd::InputsGone, RunEnd::Failed, RunEnd::Broken,  RunEnd::TimedOut};
+    const RunEnd ends[] = {RunEnd::Delivered,   RunEnd::Held,       RunEnd::NotSent,
+                           RunEnd::NotExecuted, RunEnd::InputsGone, RunEnd::Failed,
+                           RunEnd::Broken,      RunEnd::TimedOut,   RunEnd::CallerGone};
     std::map<std::uint64_t, std::string> routeNames;
     std::map<std::uint64_t, int> possibleExecutions;
     std::map<std::uint64_t, int> endCounts;
+    std::set<std::uint64_t> begun; // requests whose response has begun
+    // Number of the run whose answer is held, by request.
+    std::map<std::uint64_t, std::uint32_t> heldAnswers;
     std::uint64_t nextToken = 1;
     std::size_t seen = 0;
     const auto observe = [&] {
@@ -646,6 +786,15 @@
             } else if (const auto *refusal = std::get_if<RefuseCall>(&effect)) {
                 if (refusal->status_ == 503)
                     BOOST_TEST(possibleExecutions[refusal->token_] == 0);
+                BOOST_TEST(!begun.contains(refusal->token_));
+            } else if (const auto *abort = std::get_if<AbortCall>(&effect)) {
+                BOOST_TEST(begun.contains(abort->token_));
+            } else if (const auto *delivery = std::get_if<DeliverHeld>(&effect)) {
+                BOOST_TEST(!begun.contains(delivery->token_));
+                BOOST_TEST(heldAnswers[delivery->token_] == delivery->attempt_);
+                heldAnswers.erase(delivery->token_);
+            } else if (const auto *stop = std::get_if<StopRun>(&effect)) {
+                heldAnswers.erase(stop->token_);
             } else if (const auto *end = std::get_if<DirectEnded>(&effect)) {
                 BOOST_TEST(++endCounts[end->token_] == 1);
                 BOOST_TEST(end->outcome_.find_first_not_of("abcdefghijklmnopqrstuvwxyz_")
@@ -672,7 +821,17 @@
             else if (request.phase_ == DirectPhase::Planning && !request.scheduler_.empty())
                 fixture.grant("engine-" + std::to_string(1 + random() % 3), token);
             else if (request.phase_ == DirectPhase::Running) {
-                const RunEnd end = ends[random() % 8];
+                if (routeNames[token] == "resumable" && random() % 3 == 0) {
+                    begun.insert(token);
+                    fixture.handle(RunStarted{token, request.attempt_});
+                }
+                if (begun.contains(token) && random() % 3 == 0)
+                    fixture.handle(RunSilent{token, request.attempt_, "2"});
+                if (request.phase_ != DirectPhase::Running)
+                    continue; // the stream moves to another upstream
+                const RunEnd end = ends[random() % std::size(ends)];
+                if (end == RunEnd::Held)
+                    heldAnswers[token] = request.attempt_;
                 const bool mayHaveExecuted = end != RunEnd::NotSent && end != RunEnd::NotExecuted
                     && end != RunEnd::InputsGone;
                 if (!mayHaveExecuted)
@@ -690,6 +849,7 @@
     fixture.handle(Wake{});
     observe();
     BOOST_TEST(fixture.state_.requests_.empty());
+    BOOST_TEST(heldAnswers.empty());
     for (const auto &[token, name] : routeNames)
         BOOST_TEST(endCounts[token] == 1);
 }
--- a/packages/server/include/chervilspring/detail/net/event_splitter.hpp
+++ b/packages/server/include/chervilspring/detail/net/event_splitter.hpp
@@ -20,21 +20,32 @@
     /// @brief Appends received bytes.
     void add(std::string_view bytes) { pending_.append(bytes); }
 
-    /// @brief Removes and returns the complete events, unchanged and in order.
+    /// @brief Removes and returns the complete events, unchanged and in order. Returns none from a
+    /// gap on, see hasGap().
     std::string takeEvents();
 
-    /// @brief Removes and returns the bytes after the last complete event. Call at the end of the
-    /// stream.
+    /// @brief Removes and returns the bytes after the last complete event, which are treated like
+    /// one. Call at the end of the stream, after takeEvents().
     std::string takeRemainder();
 
     /// @brief Returns the id of the last event returned that had one. Initially the id given to the
     /// constructor.
     const std::string &lastId() const { return lastId_; }
 
+    /// @brief Whether a stream that continues after lastId() repeats none of the returned events:
+    /// the last one with data had an id, or none was returned.
+    bool isResumable() const { return resumable_; }
+
+    /// @brief Whether the bytes after the last complete event are part of an event.
+    bool hasIncompleteEvent() const
+    {
+        return pending_.find_first_not_of("\r\n") != std::string::npos;
+    }
+
     /// @brief Whether the incomplete event is longer than maxEventBytes.
     bool isEventTooLong() const { return pending_.size() > maxEventBytes; }
 
-    /// @brief Whether the numeric id of an event was not the successor of the previous one.
+    /// @brief Whether the numeric id of an event is not the successor of the previous one.
     bool hasGap() const { return hasGap_; }
 
 private:
@@ -46,6 +57,7 @@
     std::string lastId_;
     std::optional<std::uint64_t> lastNumericId_; ///< lastId_ as a number, if it is one
     bool hasGap_ = false;
+    bool resumable_ = true; ///< see isResumable()
 };
 
 } // namespace chervilspring
--- a/packages/server/src/run_client.cpp
+++ b/packages/server/src/run_client.cpp
@@ -39,6 +39,8 @@
 
 struct RunClient::Run
 {
+    explicit Run(asio::io_context &context) : silenceTimer_(context) { }
+
     StartRun command_;
     DirectExchangePointer exchange_;
     UpstreamConnectionPointer connection_;
@@ -51,6 +53,8 @@
     MessageSize answerSize_; ///< bytes of the answer read so far
     std::unique_ptr<EventSplitter> eventSplitter_; ///< set if the answer is an event stream
     std::string answerHead_; ///< answer head for the caller; empty once it was sent
+    asio::steady_timer silenceTimer_;
+    bool reading_ = false; ///< waits for bytes of a stream
 };
 
 struct RunClient::HeldAnswer
@@ -89,7 +93,7 @@
 
 void RunClient::start(StartRun command, DirectExchangePointer exchange)
 {
-    auto run = std::make_shared<Run>();
+    auto run = std::make_shared<Run>(context_);
     run->command_ = std::move(command);
     run->exchange_ = std::move(exchange);
     runs_[{run->command_.token_, run->command_.attempt_}] = run;
@@ -114,14 +118,15 @@
         run->connection_->stream_.close();
 }
 
-void RunClient::deliver(std::uint64_t token, std::uint32_t attempt,
+bool RunClient::deliver(std::uint64_t token, std::uint32_t attempt,
                         const DirectExchangePointer &exchange)
 {
-    const auto found = heldAnswers_.find({token, attempt});
-    if (found == heldAnswers_.end())
-        return;
-    exchange->answer(std::move(found->second->head_), found->second->body_);
-    heldAnswers_.erase(found);
+    const auto held = heldAnswers_.extract({token, attempt});
+    if (held.empty()) {
+        exchange->abort();
+        return false;
+    }
+    return exchange->answer(std::move(held.mapped()->head_), held.mapped()->body_);
 }
 
 void RunClient::probe(const Upstream &upstream, std::function<void(bool reachable)> done)
@@ -178,6 +183,10 @@
     end.token_ = run->command_.token_;
     end.attempt_ = run->command_.attempt_;
     bool noAnswerBytes = false;
+    if (run->exchange_->ended()) {
+        end.end_ = RunEnd::CallerGone;
+        co_return end;
+    }
     run->requestHead_ = forwardedRequestHead(run->exchange_->request(), protocol_, run->command_);
     if (run->stopped_ || !co_await connect(run, end))
         co_return end;
@@ -341,24 +350,41 @@
         heldAnswers_[{run->command_.token_, run->command_.attempt_}] = std::move(held);
 }
 
-asio::awaitable<bool> RunClient::forwardEvents(RunPointer run, RunEnded &end, bool last)
+asio::awaitable<bool> RunClient::forwardEvents(RunPointer run, std::string events, bool last)
 {
-    std::string events = run->eventSplitter_->takeEvents();
-    if (last)
-        events += run->eventSplitter_->takeRemainder();
-    end.lastEventId_ = run->eventSplitter_->lastId();
     if (events.empty() && !last)
         co_return true;
-    const bool firstEvents = !run->answerHead_.empty();
-    const bool headAlreadySent = run->exchange_->headSent();
     std::string head = std::exchange(run->answerHead_, {});
-    if (headAlreadySent)
+    const bool firstEvents = !head.empty();
+    if (run->exchange_->headSent())
         head.clear();
-    if (!co_await run->exchange_->stream(std::move(head), std::move(events), last))
-        co_return false;
+    // Before the write, which may take long: from now on no other answer can be sent.
     if (firstEvents && !run->stopped_)
         handlers_.onStarted_(RunStarted{run->command_.token_, run->command_.attempt_});
-    co_return true;
+    if (run->stopped_)
+        co_return false;
+    co_return co_await run->exchange_->stream(std::move(head), std::move(events), last);
+}
+
+void RunClient::watchSilence(const RunPointer &run)
+{
+    const StartRun &command = run->command_;
+    if (command.silenceLimit_ == nanoseconds(0) || !run->answerHead_.empty())
+        return;
+    run->silenceTimer_.expires_after(command.silenceLimit_);
+    run->silenceTimer_.async_wait([this, run](boost::system::error_code error) {
+        // Bytes may have arrived, and the timer may have been set again, while this handler was
+        // waiting to be called.
+        const bool silent =
+            run->reading_ && run->silenceTimer_.expiry() <= asio::steady_timer::clock_type::now();
+        if (error || !silent)
+            return;
+        handlers_.onSilent_(RunSilent{run->command_.token_, run->command_.attempt_,
+                                      run->eventSplitter_->lastId(),
+                                      run->eventSplitter_->isResumable()});
+        if (!run->stopped_)
+            watchSilence(run);
+    });
 }
 
 asio::awaitable<void> RunClient::forwardStream(RunPointer run, RunEnded &end)
@@ -376,23 +402,32 @@
     while (!run->parser_->is_done() && callerReachable && !error && isIntact()) {
         run->parser_->get().body().data = readBuffer.data();
         run->parser_->get().body().size = readBuffer.size();
-        // The limit applies between events, that is once the first ones were forwarded.
-        if (run->command_.gapLimit_ > nanoseconds(0) && run->answerHead_.empty())
-            connection.stream_.expires_after(run->command_.gapLimit_);
+        run->reading_ = true;
+        watchSilence(run);
         co_await parseOrReadSome(connection.stream_, connection.buffer_, *run->parser_,
                                  run->answerSize_, error);
+        run->reading_ = false;
+        run->silenceTimer_.cancel();
         if (error == http::error::need_buffer)
             error = {};
         const std::size_t count = readBuffer.size() - run->parser_->get().body().size;
         run->answerSize_.bodyBytes_ += count;
         run->eventSplitter_->add(std::string_view(readBuffer).substr(0, count));
         if (!run->parser_->is_done() && count > 0)
-            callerReachable = co_await forwardEvents(run, end, false);
+            callerReachable = co_await forwardEvents(run, run->eventSplitter_->takeEvents(), false);
     }
-    connection.stream_.expires_never();
-    const bool complete = run->parser_->is_done() && !error && isIntact();
-    if (complete && callerReachable)
-        callerReachable = co_await forwardEvents(run, end, true);
+    std::string lastEvents = run->eventSplitter_->takeEvents();
+    // Without a length or chunks, a stream whose upstream failed may end like a complete one.
+    const bool endsInEvent = run->parser_->need_eof() && run->eventSplitter_->hasIncompleteEvent();
+    bool complete = run->parser_->is_done() && !error && isIntact() && !endsInEvent;
+    if (complete) {
+        lastEvents += run->eventSplitter_->takeRemainder();
+        complete = isIntact();
+    }
+    end.lastEventId_ = run->eventSplitter_->lastId();
+    end.resumable_ = run->eventSplitter_->isResumable();
+    if (callerReachable)
+        callerReachable = co_await forwardEvents(run, std::move(lastEvents), complete);
     if (complete && callerReachable) {
         end.end_ = RunEnd::Delivered;
         keepConnection(run);
@@ -401,9 +436,13 @@
     const bool answerStarted = headAlreadySent || run->exchange_->headSent();
     end.end_ = answerStarted ? RunEnd::Broken : RunEnd::Failed;
     if (!callerReachable)
-        end.detail_ = "the caller is no longer reachable";
+        end.end_ = RunEnd::CallerGone;
     else if (run->eventSplitter_->isEventTooLong())
         end.detail_ = "stream: an event exceeds the size limit";
+    else if (run->eventSplitter_->hasGap())
+        end.detail_ = "stream: events are missing after id " + end.lastEventId_;
+    else if (!error && endsInEvent)
+        end.detail_ = "stream: the connection was closed in an event";
     else
         end.detail_ = "stream: " + error.message();
 }
