Connect for messages that come soon after a failed connection

What callers saw: a request whose plan was sent to a scheduler within 1.1 s of a failed attempt to connect to it could wait for its deadline: the message was neither sent nor reported lost.

Cause: PeerNetwork::send() kept the message for the attempt in progress, but took any attempt of the last 1.1 s for one in progress. One that had failed at once (connection refused, as after a planned stop) was over, so the message waited until some later message opened a connection. Plan requests aren't repeated.

Evidence, before the fix: error: in "message_soon_after_a_failed_connection_is_sent_or_reported_lost": check runUntil(context, [&] { return dialler.lost_.size() == 2; }) has failed error: ... check runUntil(context, [&] { return listener.received_.size() == 1; }) has failed

Why it works: attempts are told apart from failed ones. While none is in progress a message starts the next one, not before the interval of 1.1 s since the last has passed; it ends connected or with onLost_.

--- a/packages/server/include/chervilspring/detail/net/peer_network.hpp
+++ b/packages/server/include/chervilspring/detail/net/peer_network.hpp
@@ -80,9 +80,9 @@
 
     /// @brief Sends a message, opening a connection if necessary.
     ///
-    /// The message is dropped if there is neither a connection nor an address, if no connection can
-    /// be opened, or if too many messages already wait for one; every protocol on top repeats its
-    /// requests.
+    /// Soon after a failed attempt to connect, the message waits for the next one. It is dropped if
+    /// there is neither a connection nor an address, if no connection can be opened, which
+    /// PeerHandlers::onLost_ reports, or if too many messages already wait for one.
     void send(const std::string &peer, const Message &message);
 
     /// @brief Whether a connection to a peer is open.
@@ -98,9 +98,18 @@
     struct PeerConnection;
     using ConnectionPointer = std::shared_ptr<PeerConnection>;
 
+    /// The latest attempt to connect to a peer, in progress or failed.
+    struct Dial
+    {
+        Instant startAt_{}; ///< when it starts or has started
+        std::uint64_t number_ = 0; ///< identifies it among all attempts
+        bool inProgress_ = false;
+    };
+
     boost::asio::awaitable<void> acceptLoop();
     boost::asio::awaitable<void> serve(ConnectionPointer connection);
-    boost::asio::awaitable<void> dial(std::string peer, PeerAddress address);
+    boost::asio::awaitable<void> dial(std::string peer, PeerAddress address, Dial dial);
+    void endDial(const std::string &peer, std::uint64_t number, bool connected);
     boost::asio::awaitable<void> handshakeAsListener(ConnectionPointer connection);
     boost::asio::awaitable<void> handshakeAsDialler(ConnectionPointer connection);
     boost::asio::awaitable<void> readLoop(ConnectionPointer connection);
@@ -127,7 +136,8 @@
     std::map<std::string, std::vector<ConnectionPointer>> connections_;
     /// Messages queued while dialling, by peer.
     std::map<std::string, std::deque<Message>> pendingMessages_;
-    std::map<std::string, Instant> dialledAt_; ///< start of the latest dial, by peer
+    std::map<std::string, Dial> dials_; ///< by peer; none while its latest dial succeeded
+    std::uint64_t lastDialNumber_ = 0;
     PeerTraffic traffic_;
     bool closed_ = false; ///< close() was called
 };
--- a/packages/server/src/peer_network.cpp
+++ b/packages/server/src/peer_network.cpp
@@ -119,7 +119,7 @@
     if (known == address)
         return;
     known = address;
-    dialledAt_.erase(peer);
+    dials_.erase(peer);
 }
 
 std::optional<PeerAddress> PeerNetwork::addressOf(const std::string &peer) const
@@ -153,14 +153,14 @@
     auto &pending = pendingMessages_[peer];
     if (pending.size() < maxPendingMessages)
         pending.push_back(message);
-    const Instant now = BootClock::now();
-    Instant &dialled = dialledAt_[peer];
-    const bool dialledRecently =
-        dialled != Instant{} && now - dialled < handshakeTimeout + dialBackoff;
-    if (dialledRecently)
+    Dial &last = dials_[peer];
+    if (last.inProgress_)
         return;
-    dialled = now;
-    asio::co_spawn(context_, dial(peer, *address), asio::detached);
+    const bool failedBefore = last.startAt_ != Instant{};
+    const Instant earliest = last.startAt_ + handshakeTimeout + dialBackoff;
+    const Instant now = BootClock::now();
+    last = Dial{failedBefore ? std::max(now, earliest) : now, ++lastDialNumber_, true};
+    asio::co_spawn(context_, dial(peer, *address, last), asio::detached);
 }
 
 void PeerNetwork::close()
@@ -211,13 +211,26 @@
     closeConnection(connection);
 }
 
-asio::awaitable<void> PeerNetwork::dial(std::string peer, PeerAddress address)
+void PeerNetwork::endDial(const std::string &peer, std::uint64_t number, bool connected)
+{
+    const auto found = dials_.find(peer);
+    if (found == dials_.end() || found->second.number_ != number)
+        return; // the address has changed meanwhile
+    if (connected)
+        dials_.erase(found);
+    else
+        found->second.inProgress_ = false;
+}
+
+asio::awaitable<void> PeerNetwork::dial(std::string peer, PeerAddress address, Dial dial)
 {
     using namespace asio::experimental::awaitable_operators;
     auto connection = std::make_shared<PeerConnection>(tcp::socket(context_), context_);
     connection->expectedPeerName_ = peer;
-    asio::steady_timer handshakeTimer(context_, handshakeTimeout);
+    asio::steady_timer handshakeTimer(context_, dial.startAt_ - BootClock::now());
     try {
+        co_await handshakeTimer.async_wait(use_awaitable);
+        handshakeTimer.expires_after(handshakeTimeout);
         const tcp::endpoint endpoint(asio::ip::make_address(address.address_), address.port_);
         const auto connected = co_await (connection->socket_.async_connect(endpoint, use_awaitable)
                                          || handshakeTimer.async_wait(use_awaitable));
@@ -225,7 +238,7 @@
             const auto done = co_await (handshakeAsDialler(connection)
                                         || handshakeTimer.async_wait(use_awaitable));
             if (done.index() == 0) {
-                dialledAt_.erase(peer);
+                endDial(peer, dial.number_, true);
                 registerConnection(connection);
                 co_await readLoop(connection);
             }
@@ -236,6 +249,7 @@
     const bool wasRegistered = connection->registered_;
     closeConnection(connection);
     if (!wasRegistered && !closed_) {
+        endDial(peer, dial.number_, false);
         pendingMessages_.erase(peer);
         if (handlers_.onLost_)
             handlers_.onLost_(peer);
--- a/packages/server/tests/unit-peer_network.cpp
+++ b/packages/server/tests/unit-peer_network.cpp
@@ -140,6 +140,28 @@
     dialler.network_.close();
 }
 
+// Guards against a message that is kept for a connection that nobody opens, because the last
+// attempt failed a moment ago: its sender was told neither of an answer nor of a loss.
+BOOST_AUTO_TEST_CASE(message_soon_after_a_failed_connection_is_sent_or_reported_lost)
+{
+    asio::io_context context;
+    TestPeer dialler(context, "e1", "a-secret-of-the-fleet");
+    tcp::acceptor unused(context, {asio::ip::make_address("127.0.0.1"), 0});
+    const std::uint16_t port = unused.local_endpoint().port();
+    unused.close();
+    dialler.network_.setAddress("u1", PeerAddress{"127.0.0.1", port});
+    dialler.network_.send("u1", Cancel{});
+    BOOST_REQUIRE(runUntil(context, [&] { return dialler.lost_.size() == 1; }));
+    dialler.network_.send("u1", Cancel{});
+    BOOST_TEST(runUntil(context, [&] { return dialler.lost_.size() == 2; }));
+    dialler.network_.send("u1", Cancel{});
+    TestPeer listener(context, "u1", "a-secret-of-the-fleet");
+    listener.network_.listen("127.0.0.1", port);
+    BOOST_TEST(runUntil(context, [&] { return listener.received_.size() == 1; }));
+    listener.network_.close();
+    dialler.network_.close();
+}
+
 BOOST_AUTO_TEST_CASE(peer_with_wrong_secret_or_name_is_rejected)
 {
     asio::io_context context;
