Tell the previous scheduler that a request moves also when no other one is known

What callers saw: nothing of their own request; others were planned around an engine that wasn't in use. The scheduler kept the engine's slot and its memory for the request until 5 s after the deadline.

Cause: requestPlan() replaced the scheduler of the request by none and returned before it sent PlanEnd; the next plan no longer knew whom to tell.

Evidence, before the fix (a granted request is refused by its engine while the leader has just been lost and the scheduler is no longer a member): fatal error: in "previous_scheduler_is_told_when_no_other_one_is_known": critical check sent.size() == 1u has failed

Why it works: PlanEnd is sent whenever the scheduler changes, before the early return.

--- a/packages/decision/src/direct/direct_planning.cpp
+++ b/packages/decision/src/direct/direct_planning.cpp
@@ -125,13 +125,13 @@
     const std::string scheduler = chooseScheduler(state, now);
     const std::string previous = std::exchange(request.scheduler_, scheduler);
     ++request.planRound_;
+    if (!previous.empty() && previous != scheduler)
+        effects.push_back(SendToPeer{
+            previous, PlanEnd{request.call_.id_, request.planRound_, false, "moved", false, true}});
     if (scheduler.empty()) {
         state.replanAt_ = std::min(state.replanAt_, now + replanInterval);
         return;
     }
-    if (!previous.empty() && previous != scheduler)
-        effects.push_back(SendToPeer{
-            previous, PlanEnd{request.call_.id_, request.planRound_, false, "moved", false, true}});
     addDecisionLine(effects, request, "plan",
                     "scheduler=" + scheduler + " round=" + std::to_string(request.planRound_)
                         + " results=" + std::to_string(request.stageResults_.size())
--- a/packages/decision/tests/unit-direct.cpp
+++ b/packages/decision/tests/unit-direct.cpp
@@ -352,6 +352,29 @@
     BOOST_TEST(!request.remake_);
 }
 
+// Guards against a scheduler that keeps the engine of a request taken until its deadline, because
+// the request was planned again when no other scheduler was known.
+BOOST_AUTO_TEST_CASE(previous_scheduler_is_told_when_no_other_one_is_known)
+{
+    DirectFixture fixture;
+    fixture.call("stream");
+    fixture.grant("engine-1"); // by c1
+    ViewChanged view;
+    view.view_ = testView();
+    view.share_ = wholeShare;
+    view.shareExpires_ = fixture.now_ + seconds(1000);
+    view.leader_ = "c2";
+    view.controlNames_ = {"c2"};
+    fixture.handle(view);
+    fixture.handle(PeerLost{"c2"});
+    const auto sent =
+        effectsOf<SendToPeer>(fixture.handle(RunEnded{1, 1, RunEnd::NotExecuted, 503, "", ""}));
+    BOOST_REQUIRE(sent.size() == 1u);
+    BOOST_TEST(sent[0].peer_ == "c1");
+    BOOST_REQUIRE(std::holds_alternative<PlanEnd>(sent[0].message_));
+    BOOST_TEST(std::get<PlanEnd>(sent[0].message_).moved_);
+}
+
 // Entries that lose the leader at different times and know the others in different orders still
 // choose the same scheduler, and don't return to the lost one before it is reported as leader
 // again.
