Answer pending calls and hand over before a stopping leader ends

What callers saw: an operator's command, an upstream's announcement or a read that waited at the leader when it got SIGTERM ended with a closed connection; the command may have taken effect or not. The group was then without a leader until an election timeout had passed.

Cause: a leader handed over only if another voter held its whole log at the very moment of the signal. With any entry under way it gave that up and ended at once, with the waiting calls. If it did hand over, the answers raced with the end of the process. A process that stops could also be elected leader, and a leader that refused a command because it stops named itself as the leader to ask.

Why it works: from the stop request on the leader takes no commands. It waits until its entries are committed (1 s at most), transfers as soon as a voter has them, and ends when it no longer leads, after 2 s at the latest; then it steps down, which answers all that still waits. HttpServer::whenIdle() lets the answers be written before the process ends, for 0.5 s at most; entries use it in place of a copy of their own. A stopping process neither asks for votes nor takes over.

--- a/packages/decision/include/chervilspring/detail/control/consensus.hpp
+++ b/packages/decision/include/chervilspring/detail/control/consensus.hpp
@@ -103,6 +103,8 @@
     std::map<std::string, Instant> joinTimes_; ///< when each Join of joins_ was stored, by name
     std::string leaderHint_; ///< name of the leader according to another process; may be empty
     bool transferringLeadership_ = false; ///< true: the leader refuses new commands
+    /// The process is about to end: it refuses new commands and stands for no election.
+    bool stopping_ = false;
     std::mt19937_64 randomEngine_; ///< generates the random election timeouts
 };
 
@@ -193,6 +195,14 @@
 /// @return false if this member isn't the leader or no other voter has the complete log
 bool transferLeadership(ConsensusState &state, ConsensusOutput &output);
 
+/// @brief Gives up the leadership and fails pending reads, if this member is the leader.
+/// @param state the state
+/// @param now local time
+/// @param reason reason for the decision log
+/// @param output receives the requested work
+void stepDown(ConsensusState &state, Instant now, const std::string &reason,
+              ConsensusOutput &output);
+
 /// @brief Returns the member list in force; empty if there is none yet.
 const std::vector<Member> &members(const ConsensusState &state);
 
--- a/packages/decision/include/chervilspring/detail/control/control.hpp
+++ b/packages/decision/include/chervilspring/detail/control/control.hpp
@@ -117,6 +117,7 @@
     bool ledBeforeFirstFleet_ = false; ///< became leader before any fleet configuration existed
     Instant nextSweep_{}; ///< when leases and suspects are next checked for expiry
     Instant stopDeadline_{}; ///< when the process stops at the latest; zero: it isn't stopping
+    bool stopped_ = false; ///< StopNow was requested
 };
 
 /// @brief Creates the initial state from the data loaded from disk.
--- a/packages/decision/src/control/consensus.cpp
+++ b/packages/decision/src/control/consensus.cpp
@@ -97,11 +97,7 @@
     if (voterCount(state) == 1)
         state.lastQuorumContact_ = now;
     if (now - state.lastQuorumContact_ > state.settings_.electionTimeout_) {
-        addDecisionLine(output, state, "step_down=quorum_silent");
-        applyTrigger(state, MemberTrigger::QuorumLost, output);
-        state.leaderId_ = 0;
-        failReads(state, output);
-        resetElectionTimer(state, now);
+        stepDown(state, now, "quorum_silent", output);
         return;
     }
     if (now >= state.nextHeartbeat_) {
@@ -209,7 +205,7 @@
     }
     if (now < state.electionDeadline_)
         return;
-    if (state.role_ == MemberRole::Learner) {
+    if (state.role_ == MemberRole::Learner || state.stopping_) {
         resetElectionTimer(state, now);
         return;
     }
@@ -256,7 +252,7 @@
 std::optional<std::uint64_t> append(ConsensusState &state, Instant now, WallTime wall,
                                     const Command &command, ConsensusOutput &output)
 {
-    if (state.role_ != MemberRole::Leader || state.transferringLeadership_)
+    if (state.role_ != MemberRole::Leader || state.transferringLeadership_ || state.stopping_)
         return std::nullopt;
     LogEntry entry;
     entry.index_ = lastIndex(state) + 1;
@@ -361,4 +357,16 @@
     return true;
 }
 
+void stepDown(ConsensusState &state, Instant now, const std::string &reason,
+              ConsensusOutput &output)
+{
+    if (state.role_ != MemberRole::Leader)
+        return;
+    addDecisionLine(output, state, "step_down=" + reason);
+    applyTrigger(state, MemberTrigger::QuorumLost, output);
+    state.leaderId_ = 0;
+    failReads(state, output);
+    resetElectionTimer(state, now);
+}
+
 } // namespace chervilspring
--- a/packages/decision/src/control/consensus_election.cpp
+++ b/packages/decision/src/control/consensus_election.cpp
@@ -66,7 +66,7 @@
 
 void countVotes(ConsensusState &state, Instant now, WallTime wall, ConsensusOutput &output)
 {
-    if (!hasMajority(state))
+    if (!hasMajority(state) || state.stopping_)
         return;
     if (state.role_ == MemberRole::PreCandidate)
         startElection(state, now, false, output);
@@ -162,7 +162,8 @@
 void onTimeoutNow(ConsensusState &state, Instant now, const TimeoutNow &request,
                   ConsensusOutput &output)
 {
-    if (request.cluster_ != state.hardState_.cluster_ || request.term_ != state.hardState_.term_)
+    if (request.cluster_ != state.hardState_.cluster_ || request.term_ != state.hardState_.term_
+        || state.stopping_)
         return;
     if (!applyTrigger(state, MemberTrigger::ElectionTimeout, output))
         return;
--- a/packages/decision/src/control/control.cpp
+++ b/packages/decision/src/control/control.cpp
@@ -10,6 +10,8 @@
 constexpr nanoseconds proposalRetryInterval = seconds(1);
 constexpr nanoseconds suspectLifetime = seconds(60); // long enough for several upstream restarts
 constexpr auto stopTimeout = seconds(2);
+// A stopping leader hands over before its entries are committed if they take longer than this.
+constexpr auto stopCommitTimeout = seconds(1);
 constexpr nanoseconds shareLease = seconds(10); // longer than a leader change takes
 constexpr nanoseconds shareClockMargin = seconds(1); // clock drift between VMs
 
@@ -19,11 +21,13 @@
 void sendAnswer(const ControlState &state, const Waiter &waiter, const Outcome &outcome,
                 ControlEffects &effects)
 {
+    // A leader that refuses commands because it stops isn't named, so that nobody asks it again.
+    const bool stops = state.consensus_.role_ == MemberRole::Leader && state.consensus_.stopping_;
+    const std::string leader = stops ? std::string() : leaderName(state);
     if (waiter.peer_.empty())
-        effects.push_back(AnswerProposal{waiter.token_, outcome, leaderName(state)});
+        effects.push_back(AnswerProposal{waiter.token_, outcome, leader});
     else
-        effects.push_back(
-            SendToPeer{waiter.peer_, ProposeReply{waiter.token_, outcome, leaderName(state)}});
+        effects.push_back(SendToPeer{waiter.peer_, ProposeReply{waiter.token_, outcome, leader}});
 }
 
 void failWaiters(ControlState &state, ControlEffects &effects)
@@ -346,22 +350,42 @@
     }
 }
 
-void onStop(ControlState &state, Instant now, WallTime wall, ControlEffects &effects)
+bool hasOtherVoter(const ConsensusState &state)
 {
-    state.stopDeadline_ = now + stopTimeout;
-    ConsensusOutput output;
-    const bool transferStarted = transferLeadership(state.consensus_, output);
-    processOutput(state, now, wall, std::move(output), effects);
-    if (!transferStarted)
-        effects.push_back(StopNow{});
+    const auto &list = members(state);
+    return std::any_of(list.begin(), list.end(), [&](const Member &member) {
+        return member.voter_ && member.id_ != state.settings_.self_.id_;
+    });
+}
+
+// Whether a stopping leader may not end yet: it has to hand over and to answer what waits for it.
+bool holdsStop(ControlState &state, Instant now, WallTime wall, ControlEffects &effects)
+{
+    ConsensusState &log = state.consensus_;
+    if (log.role_ != MemberRole::Leader || now >= state.stopDeadline_)
+        return false;
+    if (!hasOtherVoter(log))
+        return !state.waiters_.empty() || !log.pendingReads_.empty();
+    const bool isCommitted = log.commitIndex_ == lastIndex(log);
+    const bool mayTransfer =
+        isCommitted || now >= state.stopDeadline_ - stopTimeout + stopCommitTimeout;
+    if (mayTransfer && !log.transferringLeadership_) {
+        ConsensusOutput output;
+        transferLeadership(log, output);
+        processOutput(state, now, wall, std::move(output), effects);
+    }
+    return true;
 }
 
-void checkStop(const ControlState &state, Instant now, ControlEffects &effects)
+void stopWhenHandedOver(ControlState &state, Instant now, WallTime wall, ControlEffects &effects)
 {
-    if (state.stopDeadline_ == Instant{})
+    if (state.stopDeadline_ == Instant{} || state.stopped_ || holdsStop(state, now, wall, effects))
         return;
-    if (state.consensus_.role_ != MemberRole::Leader || now >= state.stopDeadline_)
-        effects.push_back(StopNow{});
+    ConsensusOutput output;
+    stepDown(state.consensus_, now, "stop", output);
+    processOutput(state, now, wall, std::move(output), effects);
+    state.stopped_ = true;
+    effects.push_back(StopNow{});
 }
 
 void onPeerMessage(ControlState &state, Instant now, WallTime wall, const PeerMessage &event,
@@ -438,12 +462,15 @@
                 processOutput(state, now, wall, std::move(nested), effects);
             },
             [](const Wake &) {},
-            [&](const StopRequested &) { onStop(state, now, wall, effects); },
+            [&](const StopRequested &) {
+                state.stopDeadline_ = now + stopTimeout;
+                state.consensus_.stopping_ = true;
+            },
             [&](const LocalAnnouncement &e) { onLocalAnnouncement(state, now, wall, e, effects); },
             [&](const SeedsChanged &e) { state.consensus_.settings_.controlNames_ = e.names_; },
         },
         event);
-    checkStop(state, now, effects);
+    stopWhenHandedOver(state, now, wall, effects);
 }
 
 } // namespace chervilspring
--- a/packages/decision/tests/control_group.hpp
+++ b/packages/decision/tests/control_group.hpp
@@ -237,7 +237,9 @@
     }
 
     std::map<std::uint64_t, Outcome> answers_; ///< outcomes of proposals by token
+    std::map<std::uint64_t, std::string> answerLeaders_; ///< AnswerProposal::leader_ by token
     std::map<std::uint64_t, bool> readResults_; ///< AnswerRead::ok_ by token
+    std::set<std::string> stopped_; ///< processes that have asked to be ended
 
 private:
     WallTime wall() const
@@ -273,8 +275,15 @@
             member.disk_.unsynced_.push_back(*batch);
         } else if (auto *answer = std::get_if<AnswerProposal>(&effect)) {
             answers_[answer->token_] = answer->outcome_;
+            answerLeaders_[answer->token_] = answer->leader_;
         } else if (auto *read = std::get_if<AnswerRead>(&effect)) {
             readResults_[read->token_] = read->ok_;
+        } else if (std::holds_alternative<StopNow>(effect)) {
+            stopped_.insert(member.name_);
+            const ControlState &state = member.state_;
+            BOOST_TEST(state.waiters_.empty(), member.name_ << " ends with unanswered proposals");
+            BOOST_TEST(state.consensus_.pendingReads_.empty(),
+                       member.name_ << " ends with unanswered reads");
         }
     }
 
--- a/packages/decision/tests/unit-consensus.cpp
+++ b/packages/decision/tests/unit-consensus.cpp
@@ -51,6 +51,10 @@
             group_.freeze(anyName());
         else if (choice < 965 && replaceDisks)
             replaceDisk();
+        else if (choice >= 965 && choice < 967)
+            group_.handle(anyName(), StopRequested{});
+        for (const std::string &name : std::exchange(group_.stopped_, {}))
+            restart(name);
     }
 
     // Delivers three of four messages in order, as a connection does, and the others out of order.
@@ -230,6 +234,81 @@
     BOOST_TEST((s.group_.now() - before <= milliseconds(200)));
 }
 
+struct StopRow
+{
+    int size_; ///< number of control processes
+    bool cut_; ///< the leader reaches no other process
+    OutcomeKind proposal_; ///< outcome of a proposal that is pending at the stop request
+};
+std::ostream &operator<<(std::ostream &out, const StopRow &row)
+{
+    return out << row.size_ << " members" << (row.cut_ ? ", leader cut off" : "");
+}
+
+const StopRow stopTable[] = {
+    {1, false, OutcomeKind::Accepted},
+    {3, false, OutcomeKind::Accepted},
+    {5, false, OutcomeKind::Accepted},
+    {3, true, OutcomeKind::Unavailable},
+};
+
+// Guards against a leader that ends while proposals or reads wait for it, without an answer and
+// without a successor.
+BOOST_DATA_TEST_CASE(planned_stop_answers_pending_calls_first,
+                     boost::unit_test::data::make(stopTable), row)
+{
+    StableGroup s(row.size_);
+    const std::string old = s.group_.leader();
+    for (const std::string &name : s.group_.names()) {
+        if (row.cut_)
+            s.group_.cut(old, name);
+    }
+    const Instant before = s.group_.now();
+    s.group_.handle(old, LocalRead{77});
+    s.group_.handle(old, LocalProposal{78, ReserveRecord{testRecord("pending")}});
+    s.group_.handle(old, StopRequested{});
+    while (!s.group_.stopped_.contains(old) && s.group_.now() - before < seconds(4))
+        s.group_.run(milliseconds(50));
+    BOOST_TEST((s.group_.now() - before <= milliseconds(2050)));
+    BOOST_TEST(s.group_.stopped_.contains(old));
+    BOOST_REQUIRE(s.group_.answers_.contains(78));
+    BOOST_TEST((s.group_.answers_[78].kind_ == row.proposal_));
+    BOOST_REQUIRE(s.group_.readResults_.contains(77));
+    BOOST_TEST(s.group_.readResults_[77] == !row.cut_);
+    s.group_.crash(old);
+    if (row.size_ == 1)
+        return;
+    s.group_.run(milliseconds(row.cut_ ? 4000 : 100));
+    BOOST_TEST(!s.group_.leader().empty());
+}
+
+// Guards against a redirect of the caller to the process that is about to end.
+BOOST_AUTO_TEST_CASE(command_after_a_stop_request_is_refused_without_naming_the_process)
+{
+    StableGroup s(3);
+    const std::string old = s.group_.leader();
+    s.group_.handle(old, StopRequested{});
+    s.group_.handle(old, LocalProposal{78, ReserveRecord{testRecord("late")}});
+    BOOST_REQUIRE(s.group_.answers_.contains(78));
+    BOOST_TEST((s.group_.answers_[78].kind_ == OutcomeKind::NotLeader));
+    BOOST_TEST(s.group_.answerLeaders_[78] == "");
+}
+
+BOOST_AUTO_TEST_CASE(stopping_process_stands_for_no_election)
+{
+    StableGroup s(3);
+    const std::string old = s.group_.leader();
+    std::string stopping;
+    for (const std::string &name : s.group_.names())
+        stopping = name == old ? stopping : name;
+    s.group_.handle(stopping, StopRequested{});
+    s.group_.crash(old);
+    s.group_.run(milliseconds(5000));
+    BOOST_TEST(!s.group_.leader().empty());
+    BOOST_TEST(s.group_.leader() != stopping);
+    BOOST_TEST((s.group_.member(stopping).state_.consensus_.role_ == MemberRole::Follower));
+}
+
 BOOST_AUTO_TEST_CASE(second_vm_lost_right_after_a_repair)
 {
     StableGroup s(3);
--- a/packages/server/include/chervilspring/detail/net/http_server.hpp
+++ b/packages/server/include/chervilspring/detail/net/http_server.hpp
@@ -115,6 +115,11 @@
     /// @brief Returns the number of connections with a request in progress.
     std::size_t busyConnections() const { return busyConnections_; }
 
+    /// @brief Waits until no request is in progress. To be called once, after stopAccepting().
+    /// @param deadline end of the wait in any case
+    /// @param done called after the wait
+    void whenIdle(Instant deadline, std::function<void()> done);
+
 private:
     using Stream = boost::beast::tcp_stream;
     boost::asio::awaitable<void> acceptLoop();
@@ -132,6 +137,7 @@
     HttpLimits limits_;
     std::function<void(HttpExchangePointer)> handler_;
     std::unique_ptr<boost::asio::ip::tcp::acceptor> acceptor_;
+    boost::asio::steady_timer idleTimer_; ///< polls for whenIdle()
     std::size_t busyConnections_ = 0;
     bool stopping_ = false; ///< stopAccepting() was called
 };
--- a/packages/server/include/chervilspring/detail/process/control_thread.hpp
+++ b/packages/server/include/chervilspring/detail/process/control_thread.hpp
@@ -34,8 +34,8 @@
     /// @throws boost::system::system_error if a port cannot be bound
     void start();
 
-    /// @brief Transfers the leadership to another member if this process is the leader, then calls
-    /// onStopped. Thread-safe.
+    /// @brief Transfers the leadership to another member if this process is the leader, answers the
+    /// calls that wait, then calls onStopped. Thread-safe.
     ///
     /// If the transfer does not succeed in time, onStopped is called all the same.
     /// @param onStopped called on the control thread
--- a/packages/server/include/chervilspring/detail/process/entry_shard.hpp
+++ b/packages/server/include/chervilspring/detail/process/entry_shard.hpp
@@ -57,7 +57,6 @@
     void onPeerMessage(const std::string &peer, Message message);
     void deliver(const Answer &answer);
     void deliver(const StreamToCaller &tokens);
-    void pollStopped();
 
     Settings settings_;
     std::uint32_t shard_;
@@ -68,12 +67,10 @@
     PeerNetwork network_;
     HttpServer http_;
     WakeTimer timer_;
-    boost::asio::steady_timer stopTimer_;
     std::shared_ptr<const ViewChanged> appliedView_;
     std::map<std::uint64_t, HttpExchangePointer> exchanges_; ///< requests in progress, by token
     std::uint64_t nextToken_ = 1; ///< token of the next request
     bool ready_ = true; ///< markUnready() has not been called
-    bool reducerStopped_ = false; ///< the reducer has answered its last request and stopped
     std::function<void()> onStopped_;
     std::thread thread_;
 };
--- a/packages/server/src/control_thread.cpp
+++ b/packages/server/src/control_thread.cpp
@@ -15,6 +15,9 @@
 
 namespace {
 
+// For writing the answers that a stop leaves; a caller that doesn't read doesn't hold it up.
+constexpr nanoseconds lastAnswersTimeout = milliseconds(500);
+
 ControlSettings controlSettings(const Settings &settings, const LoadedState &loaded)
 {
     ControlSettings control;
@@ -201,8 +204,9 @@
                        [&](const AnswerRead &e) { answerRead(e); },
                        [](const DecisionLine &e) { writeLog(LogLevel::Info, e.text_); },
                        [&](const StopNow &) {
-                           if (onStopped_)
-                               std::exchange(onStopped_, nullptr)();
+                           // The last answers may still have to be written.
+                           http_.stopAccepting();
+                           http_.whenIdle(BootClock::now() + lastAnswersTimeout, onStopped_);
                        },
                    },
                    effect);
--- a/packages/server/src/entry_shard.cpp
+++ b/packages/server/src/entry_shard.cpp
@@ -12,8 +12,6 @@
 
 namespace {
 
-constexpr auto stopPollInterval = milliseconds(20);
-
 std::string shardName(const Settings &settings, std::uint32_t shard)
 {
     return settings.name_ + "." + std::to_string(shard);
@@ -135,7 +133,7 @@
                             {}}),
       http_(context_, HttpLimits{settings.bodyLimit_, settings.readTimeout_},
             [this](const HttpExchangePointer &exchange) { onHttp(exchange); }),
-      timer_(context_, [this] { handle(Wake{}); }), stopTimer_(context_)
+      timer_(context_, [this] { handle(Wake{}); })
 { }
 
 EntryShard::~EntryShard()
@@ -188,21 +186,6 @@
         onStopped_ = onStopped;
         http_.stopAccepting();
         handle(StopRequested{});
-        pollStopped();
-    });
-}
-
-void EntryShard::pollStopped()
-{
-    // The reducer may have finished while responses are still being written.
-    if (reducerStopped_ && http_.busyConnections() == 0) {
-        onStopped_();
-        return;
-    }
-    stopTimer_.expires_after(stopPollInterval);
-    stopTimer_.async_wait([this](boost::system::error_code error) {
-        if (!error)
-            pollStopped();
     });
 }
 
@@ -243,7 +226,7 @@
                        [&](const StageMeasured &e) { metrics_.add(e); },
                        [&](const RequestMeasured &e) { metrics_.add(e); },
                        [](const DecisionLine &e) { writeLog(LogLevel::Info, e.text_); },
-                       [&](const StopNow &) { reducerStopped_ = true; },
+                       [&](const StopNow &) { http_.whenIdle(Instant::max(), onStopped_); },
                    },
                    effect);
     }
--- a/packages/server/src/http_server.cpp
+++ b/packages/server/src/http_server.cpp
@@ -22,6 +22,7 @@
 namespace {
 
 constexpr auto writeTimeout = seconds(10); // for a caller that does not read
+constexpr auto idlePollInterval = milliseconds(10); // of HttpServer::whenIdle()
 constexpr std::size_t maxHeaderBytes = 16384;
 using ReusePort = asio::detail::socket_option::boolean<SOL_SOCKET, SO_REUSEPORT>;
 
@@ -78,7 +79,7 @@
 
 HttpServer::HttpServer(asio::io_context &context, HttpLimits limits,
                        std::function<void(HttpExchangePointer)> handler)
-    : context_(context), limits_(limits), handler_(std::move(handler))
+    : context_(context), limits_(limits), handler_(std::move(handler)), idleTimer_(context)
 { }
 
 std::uint16_t HttpServer::listen(const std::string &address, std::uint16_t port, bool shared)
@@ -104,6 +105,20 @@
     acceptor_->close(ignored);
 }
 
+void HttpServer::whenIdle(Instant deadline, std::function<void()> done)
+{
+    if (busyConnections_ == 0 || BootClock::now() >= deadline) {
+        done();
+        return;
+    }
+    idleTimer_.expires_after(idlePollInterval);
+    idleTimer_.async_wait(
+        [this, deadline, done = std::move(done)](boost::system::error_code error) {
+            if (!error)
+                whenIdle(deadline, done);
+        });
+}
+
 asio::awaitable<void> HttpServer::acceptLoop()
 {
     while (!stopping_) {
--- a/packages/server/tests/unit-stops.cpp
+++ b/packages/server/tests/unit-stops.cpp
@@ -106,6 +106,34 @@
     BOOST_TEST(loadBalancer.sent_ > 100);
 }
 
+// Guards against a leader that ends while an operator's command waits for the other members.
+BOOST_AUTO_TEST_CASE(operator_call_that_is_pending_at_a_planned_stop_is_answered)
+{
+    TestFleet fleet("stops-operator");
+    const std::string leader = fleet.fixture_.leader();
+    BOOST_REQUIRE(!leader.empty());
+    const std::vector<std::string> controls = {"c1", "c2", "c3"};
+    for (const std::string &name : controls) {
+        if (name != leader)
+            fleet.fixture_.signal(name, SIGSTOP);
+    }
+    auto answer = std::async(std::launch::async, [&] {
+        return fleet.fixture_.http(
+            leader, "POST", "/v1/drain",
+            R"({"operation_id": "7", "upstream": "index-1", "drained": true})",
+            FleetFixture::operatorCredential());
+    });
+    std::this_thread::sleep_for(milliseconds(100));
+    fleet.fixture_.signal(leader, SIGTERM);
+    const CallerAnswer received = answer.get();
+    BOOST_TEST(received.status_ == 503u, received.body_);
+    BOOST_TEST(fleet.fixture_.waitForEnd(leader, processTimeout) == 0);
+    for (const std::string &name : controls) {
+        if (name != leader)
+            fleet.fixture_.signal(name, SIGCONT);
+    }
+}
+
 // The first crash also fails other requests that run at the same upstream; each of these is run
 // again alone. The crashing request is blocked after at most crashLimit crashes.
 BOOST_AUTO_TEST_CASE(request_that_crashes_upstreams_is_blocked)
