Apply a change of the settings file that happens while the process starts

What callers saw: a control process or a direct entry kept an outdated list of control processes until the file changed once more or SIGHUP came.

Cause: main() parsed one content of the file, and the reloader read the file again when it was started, after the ports were bound and, in a control process, the log was loaded. What changed in between, without a signal, was taken for the content in force.

Evidence, before the fix (the file is a pipe that gives another content from the second read on): error: in "settings_that_change_while_the_process_starts_are_reloaded": the log has no line "reloaded" within 20 s After it: "reloaded reason=changed seeds=2".

Why it works: the reloader compares with the content that the settings were parsed from.

sighup_interrupts_no_role passed before, too: the roles that reload nothing catch SIGHUP all the same, since the signal set of the reloader exists in each of them.

--- a/apps/chervilspringd/main.cpp
+++ b/apps/chervilspringd/main.cpp
@@ -48,17 +48,18 @@
 {
     using namespace chervilspring;
     Settings settings;
+    SettingsFile source{file, {}};
     const bool valid = handleErrors(
         [&]() -> leaf::result<void> {
-            BOOST_LEAF_AUTO(text, readFile(file));
-            BOOST_LEAF_ASSIGN(settings, parseSettings(text, file));
+            BOOST_LEAF_ASSIGN(source.content_, readFile(file));
+            BOOST_LEAF_ASSIGN(settings, parseSettings(source.content_, file));
             return {};
         },
         [](const Error &error) { std::cerr << toString(error) << "\n"; });
     if (!valid)
         return exitInvalidSettings;
     if (!checkOnly)
-        return runProcess(settings, file, settings.routes_ ? &platform::protocol() : nullptr);
+        return runProcess(settings, source, settings.routes_ ? &platform::protocol() : nullptr);
     std::cout << file << ": ok\n";
     return 0;
 }
--- a/packages/server/src/run_process.cpp
+++ b/packages/server/src/run_process.cpp
@@ -39,14 +39,14 @@
 class SettingsReloader
 {
 public:
-    SettingsReloader(asio::io_context &mainContext, std::string file)
-        : file_(std::move(file)), signals_(mainContext, SIGHUP), timer_(mainContext)
+    SettingsReloader(asio::io_context &mainContext, const SettingsFile &file)
+        : file_(file.path_), content_(file.content_), signals_(mainContext, SIGHUP),
+          timer_(mainContext)
     { }
 
     void start(std::function<void(const Settings &)> apply)
     {
         apply_ = std::move(apply);
-        content_ = read();
         waitForSignal();
         waitForChange();
     }
@@ -112,7 +112,7 @@
     }
 
     std::string file_;
-    std::string content_; // content of the file at start() or at the last reload
+    std::string content_; // content that was last parsed
     std::function<void(const Settings &)> apply_;
     asio::signal_set signals_;
     asio::steady_timer timer_;
@@ -276,7 +276,7 @@
 
 } // namespace
 
-int runProcess(const Settings &settings, const std::string &settingsFile,
+int runProcess(const Settings &settings, const SettingsFile &settingsFile,
                const DirectProtocol *protocol)
 {
     openLog(settings.logFile_, settings.logLevel_);
