Keep signals that arrive while a process starts

What callers saw: SIGHUP in the first milliseconds of a process ended it, SIGTERM and SIGINT ended it without a graceful stop (status 129, 143 and 130).

Cause: the handlers were installed after the settings had been read and the log had been opened. Until then the default action of these signals applied, which ends the process.

Evidence, before the fix (the process waits in the read of its settings when the signal is sent): fatal error: in "sighup_before_the_settings_are_read_reloads_them_later": ended with status 129 error: in "stop_signal_before_the_settings_are_read_ends_the_process_gracefully/_1": check process.exitStatus_ == 0 has failed [130 != 0]

Why it works: main() blocks the three signals first. runProcess() unblocks them once its signal sets exist; what is pending is delivered then, and a signal set keeps it until it is waited for.

--- a/apps/chervilspringd/main.cpp
+++ b/apps/chervilspringd/main.cpp
@@ -68,6 +68,7 @@
 
 int main(int argc, const char **argv)
 {
+    chervilspring::holdBackSignals();
     Options options;
     if (!parseOptions(argc, argv, options))
         return exitUsage;
--- a/packages/server/include/chervilspring/process.hpp
+++ b/packages/server/include/chervilspring/process.hpp
@@ -15,6 +15,13 @@
     std::string content_; ///< content that the settings were parsed from
 };
 
+/// @brief Holds back the signals that runProcess() handles until it does so.
+///
+/// To be called first in main(), before any thread is started: SIGHUP, SIGTERM and SIGINT end a
+/// process that doesn't handle them yet.
+/// @since 0.1.0
+void holdBackSignals();
+
 /// @brief Runs until SIGTERM or SIGINT triggers a graceful stop, or until an unrecoverable error.
 ///
 /// Control processes, and entries with a protocol, reload the settings on SIGHUP and when the
--- a/packages/server/src/run_process.cpp
+++ b/packages/server/src/run_process.cpp
@@ -10,6 +10,8 @@
 #include <boost/asio/post.hpp>
 #include <boost/asio/signal_set.hpp>
 
+#include <signal.h>
+
 #include <cstdlib>
 
 namespace chervilspring {
@@ -29,6 +31,15 @@
                  + " http_port=" + std::to_string(httpPort));
 }
 
+sigset_t handledSignals()
+{
+    sigset_t set;
+    sigemptyset(&set);
+    for (const int number : {SIGHUP, SIGTERM, SIGINT})
+        sigaddset(&set, number);
+    return set;
+}
+
 // Returns a callback that stops the main loop and may be called on any thread.
 std::function<void()> makeStopCallback(asio::io_context &mainContext)
 {
@@ -276,6 +287,12 @@
 
 } // namespace
 
+void holdBackSignals()
+{
+    const sigset_t set = handledSignals();
+    pthread_sigmask(SIG_BLOCK, &set, nullptr);
+}
+
 int runProcess(const Settings &settings, const SettingsFile &settingsFile,
                const DirectProtocol *protocol)
 {
@@ -285,6 +302,9 @@
     const auto guard = asio::make_work_guard(mainContext);
     asio::signal_set signals(mainContext, SIGTERM, SIGINT);
     SettingsReloader reloader(mainContext, settingsFile);
+    // The signal sets keep what arrives from here on until it is waited for.
+    const sigset_t set = handledSignals();
+    pthread_sigmask(SIG_UNBLOCK, &set, nullptr);
     int status = 0;
     try {
         switch (settings.role_) {
--- a/packages/server/tests/unit-reload.cpp
+++ b/packages/server/tests/unit-reload.cpp
@@ -128,6 +128,38 @@
 constexpr char firstControl[] = "c1@127.0.0.1:9";
 constexpr char changedControl[] = "c1@127.0.0.1:9, c2@127.0.0.1:9";
 
+BOOST_AUTO_TEST_CASE(sighup_before_the_settings_are_read_reloads_them_later)
+{
+    PipedProcess process("reload-early-sighup");
+    const int first = process.openWhileRead(processTimeout);
+    BOOST_REQUIRE(first >= 0);
+    process.signal(SIGHUP);
+    process.writeSettings(first, firstControl);
+    const int second = process.openWhileRead(processTimeout);
+    BOOST_REQUIRE_MESSAGE(second >= 0, "ended with status " << process.exitStatus_);
+    process.writeSettings(second, changedControl);
+    const Instant end = BootClock::now() + processTimeout;
+    while (process.log().find("reloaded reason=signal") == std::string::npos
+           && BootClock::now() < end && !process.ended())
+        std::this_thread::sleep_for(pollInterval);
+    BOOST_TEST(process.log().find("reloaded reason=signal seeds=2") != std::string::npos,
+               process.log());
+    BOOST_TEST(!process.ended());
+}
+
+BOOST_DATA_TEST_CASE(stop_signal_before_the_settings_are_read_ends_the_process_gracefully,
+                     boost::unit_test::data::make({SIGTERM, SIGINT}), number)
+{
+    PipedProcess process("reload-early-stop");
+    const int file = process.openWhileRead(processTimeout);
+    BOOST_REQUIRE(file >= 0);
+    process.signal(number);
+    process.writeSettings(file, firstControl);
+    BOOST_REQUIRE(process.waitForEnd(processTimeout));
+    BOOST_TEST(process.exitStatus_ == 0);
+    BOOST_TEST(process.log().find("stopped name=c1") != std::string::npos, process.log());
+}
+
 BOOST_AUTO_TEST_CASE(settings_that_change_while_the_process_starts_are_reloaded)
 {
     PipedProcess process("reload-early-change");
