--- a/packages/server/src/run_process.cpp
+++ b/packages/server/src/run_process.cpp
@@ -10,6 +10,8 @@
 #include <boost/asio/post.hpp>
 #include <boost/asio/signal_set.hpp>
 
+#include <signal.h>
+
 #include <cstdlib>
 
 namespace chervilspring {
@@ -29,6 +31,15 @@
                  + " http_port=" + std::to_string(httpPort));
 }
 
+sigset_t handledSignals()
+{
+    sigset_t set;
+    sigemptyset(&set);
+    for (const int number : {SIGHUP, SIGTERM, SIGINT})
+        sigaddset(&set, number);
+    return set;
+}
+
 // Returns a callback that stops the main loop and may be called on any thread.
 std::function<void()> makeStopCallback(asio::io_context &mainContext)
 {
@@ -39,14 +50,14 @@
 class SettingsReloader
 {
 public:
-    SettingsReloader(asio::io_context &mainContext, std::string file)
-        : file_(std::move(file)), signals_(mainContext, SIGHUP), timer_(mainContext)
+    SettingsReloader(asio::io_context &mainContext, const SettingsFile &file)
+        : file_(file.path_), content_(file.content_), signals_(mainContext, SIGHUP),
+          timer_(mainContext)
     { }
 
     void start(std::function<void(const Settings &)> apply)
     {
         apply_ = std::move(apply);
-        content_ = read();
         waitForSignal();
         waitForChange();
     }
@@ -112,7 +123,7 @@
     }
 
     std::string file_;
-    std::string content_; // content of the file at start() or at the last reload
+    std::string content_; // content that was last parsed
     std::function<void(const Settings &)> apply_;
     asio::signal_set signals_;
     asio::steady_timer timer_;
@@ -276,7 +287,13 @@
 
 } // namespace
 
-int runProcess(const Settings &settings, const std::string &settingsFile,
+void holdBackSignals()
+{
+    const sigset_t set = handledSignals();
+    pthread_sigmask(SIG_BLOCK, &set, nullptr);
+}
+
+int runProcess(const Settings &settings, const SettingsFile &settingsFile,
                const DirectProtocol *protocol)
 {
     openLog(settings.logFile_, settings.logLevel_);
@@ -285,6 +302,9 @@
     const auto guard = asio::make_work_guard(mainContext);
     asio::signal_set signals(mainContext, SIGTERM, SIGINT);
     SettingsReloader reloader(mainContext, settingsFile);
+    // The signal sets keep what arrives from here on until it is waited for.
+    const sigset_t set = handledSignals();
+    pthread_sigmask(SIG_UNBLOCK, &set, nullptr);
     int status = 0;
     try {
         switch (settings.role_) {
