Keep log entries below the limit of a frame to another process

A message to a follower took up to 128 entries of any size, but a peer closes the connection at a frame above 64 MB, and the leader would send the same entries again: a control process that comes back after a few large configurations (or at-most-once answers) can't catch up. A single configuration can exceed the limit as well: an entry holds the document and, decoded, a digest for each key. The second part is found by reading; no process was seen to fail by it.

A message now takes entries with up to 1 MiB of text, or one larger entry.

--- a/packages/decision/src/control/consensus_replication.cpp
+++ b/packages/decision/src/control/consensus_replication.cpp
@@ -7,9 +7,27 @@
 namespace {
 
 constexpr std::size_t maxEntriesPerMessage = 128;
+// Bytes of text in the entries of a message, unless a single entry has more. Encoded, a message is
+// larger, but stays below the limit of a frame.
+constexpr std::size_t maxTextBytesPerMessage = 1u << 20;
 constexpr int heartbeatsPerTimeout = 6;
 constexpr auto snapshotRetryInterval = seconds(2);
 
+// Returns the bytes of the part of an entry that may be long.
+std::size_t textBytes(const LogEntry &entry)
+{
+    return std::visit(
+        [](const auto &command) -> std::size_t {
+            if constexpr (requires { command.document_; })
+                return command.document_.size();
+            else if constexpr (requires { command.body_; })
+                return command.body_.size();
+            else
+                return 0;
+        },
+        entry.command_);
+}
+
 AppendRequest makeAppend(const ConsensusState &state, std::uint64_t previous)
 {
     AppendRequest request;
@@ -36,9 +54,14 @@
         return;
     }
     AppendRequest request = makeAppend(state, progress.nextIndex_ - 1);
+    std::size_t bytes = 0;
     while (progress.nextIndex_ <= lastIndex(state)
            && request.entries_.size() < maxEntriesPerMessage) {
-        request.entries_.push_back(state.log_[progress.nextIndex_ - state.baseIndex_ - 1]);
+        const LogEntry &entry = state.log_[progress.nextIndex_ - state.baseIndex_ - 1];
+        bytes += textBytes(entry);
+        if (!request.entries_.empty() && bytes > maxTextBytesPerMessage)
+            break;
+        request.entries_.push_back(entry);
         ++progress.nextIndex_;
     }
     sendNow(state, member, std::move(request), output);
--- a/packages/decision/tests/unit-consensus.cpp
+++ b/packages/decision/tests/unit-consensus.cpp
@@ -2,12 +2,15 @@
 // replacement of members.
 #include "control_group.hpp"
 
+#include "chervilspring/codec.hpp"
+
 #include <boost/test/data/monomorphic.hpp>
 #include <boost/test/data/test_case.hpp>
 
 namespace {
 
 using namespace chervilspring;
+namespace data = boost::unit_test::data;
 
 // Runs a group with random faults. At the end, every replica must hold each proposal that was
 // answered Accepted.
@@ -365,4 +368,58 @@
     BOOST_TEST(s.group_.member(laggard).state_.consensus_.log_.size() < 100u);
 }
 
+struct LargeEntryRow
+{
+    const char *description_;
+    int count_;
+    Command command_;
+};
+
+std::ostream &operator<<(std::ostream &stream, const LargeEntryRow &row)
+{
+    return stream << row.description_;
+}
+
+std::vector<LargeEntryRow> largeEntryRows()
+{
+    CompleteRecord answer;
+    answer.body_ = std::string(1u << 20, 'a');
+    return {{"documents of 12 MB", 8, ApplyDocument{1, std::string(12u << 20, 'd'), Fleet{}}},
+            {"answers of 1 MB", 90, answer}};
+}
+
+// Peers close the connection at a larger frame, and the leader sent the same one again.
+BOOST_DATA_TEST_CASE(entries_for_a_member_that_lags_fit_into_frames, data::make(largeEntryRows()),
+                     row)
+{
+    ControlGroup group(3, 5, 1000);
+    group.run(milliseconds(3000));
+    const std::string laggard = group.leader() == "c1" ? "c2" : "c1";
+    group.crash(laggard);
+    for (int i = 0; i < row.count_; ++i) {
+        Command command = row.command_;
+        if (auto *document = std::get_if<ApplyDocument>(&command))
+            document->documentVersion_ = static_cast<std::uint64_t>(i) + 1;
+        group.propose(command);
+        group.run(milliseconds(50));
+    }
+    const std::uint64_t last = lastIndex(group.member(group.leader()).state_.consensus_);
+    group.boot(laggard);
+    std::size_t largest = 0;
+    for (int i = 0; i < 400; ++i) {
+        group.advance(milliseconds(10));
+        while (!group.messages().empty()) {
+            const Message &message = group.messages().front().message_;
+            if (std::holds_alternative<AppendRequest>(message))
+                largest = std::max(largest, encodeMessage(message).size());
+            group.deliver(0);
+        }
+        for (const std::string &name : group.names())
+            group.syncOldest(name);
+    }
+    BOOST_TEST(largest > 1u << 20);
+    BOOST_TEST(largest <= maxFrameBytes);
+    BOOST_TEST(lastIndex(group.member(laggard).state_.consensus_) >= last);
+}
+
 } // namespace
