Reject answers to stage calls that belong to another call

Answers to stage calls carry no id. An extra answer that an upstream sends after the next call was written on the kept connection is read as the answer to that call, and with the same number of items it was taken: the pieces of one request got the results of another, which its engine would then have been given as inputs. Such an answer with another number of items and the reason "room" also made the scheduler count the storage as full, and with more items than the call it read past the end of the list of result sizes (onStorageFull, in the seconds after a takeover).

Before, answer_to_another_stage_call_is_rejected: five of seven rows failed, among them "results of the call before": check closed == !row.accepted_ has failed [false != true] "one result twice": heldResults_.size() == 2 + ... has failed [3 != 2] "too many, without storage": check storageFull == ... has failed [true != false]

The scheduler now rejects an answer whose number of items differs, that names a result twice, or that names one which another piece holds; the call then counts as failed, and the idle connections to the upstream are closed, since the true answer may still arrive on them. The same piece may get the same handle again (result_of_the_same_piece_is_accepted_again).

--- a/packages/decision/include/chervilspring/detail/scheduler/scheduler.hpp
+++ b/packages/decision/include/chervilspring/detail/scheduler/scheduler.hpp
@@ -51,7 +51,15 @@
     std::vector<std::string> handles_;
 };
 
-using SchedulerEffect = std::variant<SendToPeer, StartStageCall, FreeResults, DecisionLine>;
+/// @brief Effect: close the idle connections to a stage upstream that sent an answer to another
+/// call, since the one to the right call may still arrive on them.
+struct CloseConnections
+{
+    Upstream upstream_;
+};
+
+using SchedulerEffect =
+    std::variant<SendToPeer, StartStageCall, FreeResults, CloseConnections, DecisionLine>;
 using SchedulerEffects = std::vector<SchedulerEffect>;
 
 /// @brief A call in progress to a stage upstream.
--- a/packages/decision/include/chervilspring/detail/scheduler/stage_storage.hpp
+++ b/packages/decision/include/chervilspring/detail/scheduler/stage_storage.hpp
@@ -19,6 +19,9 @@
 {
     std::uint64_t bytes_ = 0; ///< approximate size
     Instant expiresAt_{}; ///< when the result stops occupying storage
+    std::string request_; ///< id of the client attempt whose piece it is
+    std::uint32_t stage_ = 0; ///< index of the stage within the route
+    std::uint32_t piece_ = 0; ///< index of the piece within the stage
 };
 
 /// @brief A scheduler's view of one stage upstream.
--- a/packages/decision/src/scheduler/scheduler.cpp
+++ b/packages/decision/src/scheduler/scheduler.cpp
@@ -197,8 +197,32 @@
     piece->dataCenter_ = upstream ? upstream->dataCenter_ : std::string();
     const PieceCapacity *capacity = pieceCapacity(state, call.pool_);
     const nanoseconds lifetime = capacity ? capacity->resultLifetime_ : nanoseconds(0);
-    state.stageUpstreams_[call.upstream_].heldResults_[result.handle_] =
-        HeldResult{call.resultBytes_[index], now + lifetime};
+    state.stageUpstreams_[call.upstream_].heldResults_[result.handle_] = HeldResult{
+        call.resultBytes_[index], now + lifetime, id.job_.request_, id.stage_, id.piece_};
+}
+
+// Whether the outcomes in an answer can be those of a call. Answers carry no id, and a faulty
+// upstream may send the one to an earlier call again: another number of items, or results that
+// other pieces have.
+bool canBelongToCall(const StageUpstream &upstream, const StageCall &call,
+                     const std::vector<StageItemResult> &items, Instant now)
+{
+    if (items.size() != call.pieces_.size())
+        return false;
+    std::set<std::string> handles;
+    for (std::size_t i = 0; i < items.size(); ++i) {
+        if (items[i].failure_ != ItemFailure::None)
+            continue;
+        if (!handles.insert(items[i].handle_).second)
+            return false;
+        const PieceId &piece = call.pieces_[i];
+        const auto held = upstream.heldResults_.find(items[i].handle_);
+        if (held != upstream.heldResults_.end() && held->second.expiresAt_ > now
+            && (held->second.request_ != piece.job_.request_ || held->second.stage_ != piece.stage_
+                || held->second.piece_ != piece.piece_))
+            return false;
+    }
+    return true;
 }
 
 // For each request of an ended call: refuses it after too many failures, otherwise frees consumed
@@ -241,8 +265,8 @@
     upstream.call_ = 0;
     upstream.reservedBytes_ = 0;
     const nanoseconds duration = now - call.startedAt_;
-    const bool done =
-        event.end_ == StageCallEnd::Done && event.items_.size() == call.pieces_.size();
+    const bool answered = event.end_ == StageCallEnd::Done;
+    const bool done = answered && canBelongToCall(upstream, call, event.items_, now);
     if (done) {
         noteSuccess(upstream.avoidance_);
         const double ratio =
@@ -252,8 +276,12 @@
         effects.push_back(DecisionLine{
             "decision=stage_call_failed call=" + std::to_string(event.call_) + " pool=" + call.pool_
             + " upstream=" + call.upstream_ + " took_ms=" + millisecondsText(duration)
-            + " end=" + std::to_string(static_cast<int>(event.end_)) + " detail=" + event.detail_});
+            + " end=" + std::to_string(static_cast<int>(event.end_))
+            + " detail=" + (answered ? "the answer belongs to another call" : event.detail_)});
     }
+    const Upstream *known = findUpstream(state, call.upstream_);
+    if (answered && !done && known)
+        effects.push_back(CloseConnections{*known});
     if (event.end_ == StageCallEnd::Refused)
         upstream.busyUntil_ = now + busyPause;
     else if (!done)
@@ -266,10 +294,10 @@
     for (std::size_t i = 0; i < call.pieces_.size(); ++i)
         onItemEnded(state, now, call, i, done ? event.items_[i] : StageItemResult{{}, callFailure},
                     effects);
-    const bool storageFull =
-        std::any_of(event.items_.begin(), event.items_.end(), [](const StageItemResult &item) {
-            return item.failure_ == ItemFailure::StorageFull;
-        });
+    const bool storageFull = done
+        && std::any_of(event.items_.begin(), event.items_.end(), [](const StageItemResult &item) {
+                                 return item.failure_ == ItemFailure::StorageFull;
+                             });
     if (storageFull)
         onStorageFull(state, now, call, event.items_);
     else if (done)
--- a/packages/decision/src/scheduler/scheduler_takeover.cpp
+++ b/packages/decision/src/scheduler/scheduler_takeover.cpp
@@ -35,7 +35,8 @@
         stage.pieces_[result.piece_] =
             Piece{PieceState::Done, result.handle_, result.upstream_, producer->dataCenter_, 0};
         state.stageUpstreams_[result.upstream_].heldResults_[result.handle_] =
-            HeldResult{stage.resultBytes_, now + lifetime - result.age_};
+            HeldResult{stage.resultBytes_, now + lifetime - result.age_, job.request_.id_,
+                       result.stage_, result.piece_};
     }
     if (!job.request_.results_.empty())
         addDecisionLine(effects, job,
--- a/packages/decision/tests/unit-scheduler.cpp
+++ b/packages/decision/tests/unit-scheduler.cpp
@@ -161,6 +161,84 @@
     BOOST_TEST(!model.refusals_.contains(id));
 }
 
+struct ForeignAnswerRow
+{
+    const char *description_;
+    std::vector<StageItemResult> items_; ///< answer to a call with two pieces
+    bool accepted_;
+};
+
+std::ostream &operator<<(std::ostream &stream, const ForeignAnswerRow &row)
+{
+    return stream << row.description_;
+}
+
+const ForeignAnswerRow foreignAnswerTable[] = {
+    {"results that nobody has", {{"c", ItemFailure::None}, {"d", ItemFailure::None}}, true},
+    {"a result and a failure", {{"c", ItemFailure::None}, {"", ItemFailure::StorageFull}}, true},
+    {"results of the call before", {{"a", ItemFailure::None}, {"b", ItemFailure::None}}, false},
+    {"one result of the call before", {{"c", ItemFailure::None}, {"b", ItemFailure::None}}, false},
+    {"one result twice", {{"c", ItemFailure::None}, {"c", ItemFailure::None}}, false},
+    {"too few", {{"c", ItemFailure::None}}, false},
+    {"too many, without storage",
+     {{"c", ItemFailure::None}, {"d", ItemFailure::None}, {"", ItemFailure::StorageFull}},
+     false},
+};
+
+// Results of another request must not become inputs.
+BOOST_DATA_TEST_CASE(answer_to_another_stage_call_is_rejected, data::make(foreignAnswerTable), row)
+{
+    StageModelSettings settings;
+    settings.stageUpstreams_ = 1;
+    StageModel model(settings);
+    model.submit(2, 1);
+    BOOST_REQUIRE(model.calls_.size() == 1u);
+    model.endCall(0, model.calls_[0], StageCallEnd::Done,
+                  {{"a", ItemFailure::None}, {"b", ItemFailure::None}});
+    model.submit(2, 1);
+    const auto second =
+        std::find_if(model.calls_.begin() + 1, model.calls_.end(),
+                     [](const StartStageCall &call) { return call.upstream_.name_ == "first-1"; });
+    BOOST_REQUIRE((second != model.calls_.end()));
+    StageCallEnded ended;
+    ended.call_ = second->call_;
+    ended.end_ = StageCallEnd::Done;
+    ended.items_ = row.items_;
+    SchedulerEffects effects;
+    reduce(model.state(), model.now_, ended, effects);
+    const bool closed = std::any_of(effects.begin(), effects.end(), [](const auto &effect) {
+        return std::holds_alternative<CloseConnections>(effect);
+    });
+    BOOST_TEST(closed == !row.accepted_);
+    const Job &job = model.state().jobs_.at(JobId{"entry", second->items_[0].request_});
+    BOOST_TEST((job.stages_[0].pieces_[0].state_ == PieceState::Done) == row.accepted_);
+    const StageUpstream &upstream = model.state().stageUpstreams_.at("first-1");
+    const auto results = static_cast<std::size_t>(
+        std::count_if(row.items_.begin(), row.items_.end(), [](const StageItemResult &item) {
+            return item.failure_ == ItemFailure::None;
+        }));
+    BOOST_TEST(upstream.heldResults_.size() == 2 + (row.accepted_ ? results : 0));
+    const bool storageFull = upstream.storageFullUntil_ > model.now_;
+    BOOST_TEST(storageFull == (row.accepted_ && results < row.items_.size()));
+}
+
+// A piece whose result is lost may be processed again and get the same handle.
+BOOST_AUTO_TEST_CASE(result_of_the_same_piece_is_accepted_again)
+{
+    StageModelSettings settings;
+    settings.stageUpstreams_ = 1;
+    StageModel model(settings);
+    model.submit(1, 1);
+    model.endCall(0, model.calls_.at(0), StageCallEnd::Done, {{"a", ItemFailure::None}});
+    BOOST_REQUIRE(model.calls_.size() == 2u);
+    model.endCall(0, model.calls_[1], StageCallEnd::Done, {{"", ItemFailure::InputGone}});
+    BOOST_REQUIRE(model.calls_.size() == 3u);
+    BOOST_REQUIRE(model.calls_[2].upstream_.name_ == "first-1");
+    model.endCall(0, model.calls_[2], StageCallEnd::Done, {{"a", ItemFailure::None}});
+    BOOST_REQUIRE(model.calls_.size() == 4u);
+    BOOST_TEST(model.calls_[3].upstream_.name_ == "second-1");
+}
+
 BOOST_AUTO_TEST_CASE(results_of_a_removed_upstream_are_recomputed)
 {
     StageModelSettings settings;
--- a/packages/server/src/scheduler_thread.cpp
+++ b/packages/server/src/scheduler_thread.cpp
@@ -94,6 +94,9 @@
                            asio::co_spawn(context_, freeResults(std::move(e)),
                                           LogException{"freeing of stage results"});
                        },
+                       [&](const CloseConnections &e) {
+                           client_.closeIdle(e.upstream_.agentAddress_, e.upstream_.agentPort_);
+                       },
                        [](const DecisionLine &e) { writeLog(LogLevel::Info, e.text_); },
                    },
                    effect);
