Callers: a request whose handling throws is answered and no longer counts as busy for good

A caller whose request made the entry's own code throw (an allocation, an invalid address, a bad length) had its connection closed without an answer; the log said so at debug level only, without the request's id, and the entry didn't notice at a stop that it was done.

Cause: DirectServer::serve() caught the exception around the whole connection, behind the count of busy connections.

The owner gives the request up as for a caller that has gone, which stops a run that was decided but not begun; then 503 is true. If that throws, too, the answer is 502, which promises nothing. The log line has level error and the id.

--- a/packages/server/include/chervilspring/detail/net/direct_server.hpp
+++ b/packages/server/include/chervilspring/detail/net/direct_server.hpp
@@ -103,9 +103,11 @@
 /// @brief Callbacks of DirectServer, invoked on the thread that runs its context.
 struct DirectHandlers
 {
-    /// Called for each complete request; the exchange may be answered immediately or later.
+    /// Called for each complete request; the exchange may be answered immediately or later. Must
+    /// not send anything to an upstream before it returns, since it may throw.
     std::function<void(const DirectExchangePointer &)> onRequest_;
-    /// Called with the token of an exchange whose caller disconnected before its end.
+    /// Called with the token of an exchange whose caller disconnected before its end, or for which
+    /// onRequest_ threw: the owner has to give the request up.
     std::function<void(std::uint64_t token)> onCallerGone_;
 };
 
@@ -151,6 +153,8 @@
     boost::asio::awaitable<bool> serveOne(const std::shared_ptr<CallerConnection> &connection);
     /// Returns how long a connection may be idle.
     nanoseconds idleTime() const;
+    /// Passes a request to the owner, and answers it if the owner fails.
+    void passOn(const DirectExchangePointer &exchange);
     /// Waits for the first byte of a request. Returns false if the connection must be closed.
     boost::asio::awaitable<bool>
     waitForRequest(const std::shared_ptr<CallerConnection> &connection);
--- a/packages/server/include/chervilspring/detail/process/direct_thread.hpp
+++ b/packages/server/include/chervilspring/detail/process/direct_thread.hpp
@@ -45,6 +45,7 @@
     void handle(const DirectEvent &event);
     void applyEffects(DirectEffects &effects);
     void onRequest(const DirectExchangePointer &exchange);
+    void onCallerGone(std::uint64_t token);
     void onProbe(const HttpExchangePointer &exchange);
     void applyPublishedView();
     /// Counts a request that has ended. startedAt: its arrival; zero: no duration is recorded.
--- a/packages/server/src/direct_server.cpp
+++ b/packages/server/src/direct_server.cpp
@@ -28,9 +28,11 @@
 constexpr auto closeTimeout = seconds(1); // for a caller to receive the last answer and close
 constexpr std::size_t firstReadBytes = 4096; // of a request
 constexpr unsigned statusBadRequest = 400;
-constexpr unsigned statusRequestTimeout = 408; // like 503, tells that the request was not run
+constexpr unsigned statusRequestTimeout = 408; // the request was not run
 constexpr unsigned statusBodyTooLarge = 413;
 constexpr unsigned statusHeaderTooLarge = 431;
+constexpr unsigned statusBadGateway = 502; // the request may run
+constexpr unsigned statusUnavailable = 503; // the request was not run and will not be
 
 // Cancels the pending operations on a connection's socket after a timeout, unless disarmed before.
 class ReadDeadline
@@ -330,7 +332,7 @@
     try {
         while (co_await serveOne(connection)) { }
     } catch (const std::exception &error) {
-        writeLog(LogLevel::Debug, std::string("caller connection ended reason=") + error.what());
+        writeLog(LogLevel::Error, std::string("caller connection failed reason=") + error.what());
     }
     connections_.erase(connection.get());
     connection->socket_.shutdown(tcp::socket::shutdown_send, ignored);
@@ -445,6 +447,24 @@
     exchange->onCallerGone();
 }
 
+void DirectServer::passOn(const DirectExchangePointer &exchange)
+{
+    try {
+        handlers_.onRequest_(exchange);
+        return;
+    } catch (const std::exception &error) {
+        writeLog(LogLevel::Error, std::string("request failed reason=") + error.what());
+    }
+    unsigned status = statusUnavailable;
+    try {
+        handlers_.onCallerGone_(exchange->token());
+    } catch (const std::exception &error) {
+        writeLog(LogLevel::Error, std::string("request not given up reason=") + error.what());
+        status = statusBadGateway; // it may be sent to an upstream yet
+    }
+    exchange->refuse(status, nanoseconds(0), "internal_error");
+}
+
 asio::awaitable<bool> DirectServer::serveOne(const std::shared_ptr<CallerConnection> &connection)
 {
     HttpRequest request;
@@ -456,7 +476,7 @@
         std::make_shared<DirectExchange>(nextToken_++, connection, std::move(request), keepAlive);
     exchange->onGone_ = [this, token = exchange->token()] { handlers_.onCallerGone_(token); };
     connection->currentExchange_ = exchange;
-    handlers_.onRequest_(exchange);
+    passOn(exchange);
     if (!exchange->ended())
         watchForDisconnect(connection);
     while (!exchange->ended()) {
--- a/packages/server/src/direct_thread.cpp
+++ b/packages/server/src/direct_thread.cpp
@@ -5,6 +5,8 @@
 
 #include <boost/asio/post.hpp>
 
+#include <stdexcept>
+
 namespace chervilspring {
 
 namespace asio = boost::asio;
@@ -50,7 +52,7 @@
                peerHandlers([this](const DirectEvent &event) { handle(event); })),
       server_(context_,
               DirectHandlers{[this](const DirectExchangePointer &exchange) { onRequest(exchange); },
-                             [this](std::uint64_t token) { handle(CallerGone{token}); }}),
+                             [this](std::uint64_t token) { onCallerGone(token); }}),
       probeServer_(context_, HttpLimits{},
                    [this](const HttpExchangePointer &exchange) { onProbe(exchange); }),
       metricsServer_(
@@ -176,7 +178,11 @@
             call.bodyDigest_ = contentDigest(exchange->request().body());
             exchanges_[call.token_] = exchange;
             arrivalTimes_[call.token_] = BootClock::now();
-            handle(call);
+            try {
+                handle(call);
+            } catch (const std::exception &error) {
+                throw std::runtime_error("request=" + call.id_ + " " + error.what());
+            }
             return {};
         },
         [&](const Error &error) {
@@ -187,6 +193,14 @@
         });
 }
 
+void DirectThread::onCallerGone(std::uint64_t token)
+{
+    handle(CallerGone{token});
+    // The reducer ends the request, unless it failed before it knew of it.
+    exchanges_.erase(token);
+    arrivalTimes_.erase(token);
+}
+
 void DirectThread::onProbe(const HttpExchangePointer &exchange)
 {
     const bool ready = stopRequestedAt_ == Instant{} && canServe(state_);
--- a/packages/server/tests/unit-direct_server.cpp
+++ b/packages/server/tests/unit-direct_server.cpp
@@ -650,4 +650,43 @@
     BOOST_TEST(fixture.exchanges_.empty());
 }
 
+struct HandlerRow
+{
+    const char *name_;
+    bool answersFirst_; ///< the handler answers before it fails
+    bool cleanupFails_; ///< the handler cannot give the request up either
+    std::string status_;
+};
+
+std::ostream &operator<<(std::ostream &out, const HandlerRow &item)
+{
+    return out << item.name_;
+}
+
+const HandlerRow handlerRows[] = {
+    {"request given up", false, false, "HTTP/1.1 503"},
+    {"request possibly sent to an upstream", false, true, "HTTP/1.1 502"},
+    {"answered before the failure", true, false, "HTTP/1.1 200"},
+};
+
+BOOST_DATA_TEST_CASE(request_whose_handler_fails_is_answered, data::make(handlerRows), item)
+{
+    Fixture fixture;
+    fixture.onRequest_ = [&](const DirectExchangePointer &exchange) {
+        if (item.answersFirst_)
+            answerOk(exchange);
+        throw std::runtime_error("no such thing");
+    };
+    fixture.onGone_ = [&] {
+        if (item.cleanupFails_)
+            throw std::runtime_error("still no such thing");
+    };
+    Caller caller(fixture.port_);
+    caller.send(request);
+    BOOST_TEST(fixture.runUntilReceived(caller, item.status_), caller.received_);
+    BOOST_TEST(fixture.gone_.size() == 1u);
+    fixture.runFor(settleTime);
+    BOOST_TEST(fixture.server_.busyConnections() == 0u);
+}
+
 } // namespace
