HTTP server: a handler that throws is answered, and a lack of file descriptors doesn't spin

Callers, operators and upstreams whose request made a handler throw had their connection closed without an answer and without a line in the log, and the process counted a busy connection for good, so that a graceful stop waited until it was killed. A process without free file descriptors used a whole core while a connection waited to be accepted.

--- a/packages/core/include/chervilspring/error.hpp
+++ b/packages/core/include/chervilspring/error.hpp
@@ -42,6 +42,7 @@
     ViewTooOld = 3005,
     ControlUnavailable = 3006,
     StillRunning = 3007,
+    InternalError = 3008,
     LogDamaged = 4001,
     StorageFailed = 4002,
     NotLeader = 4003,
--- a/packages/server/include/chervilspring/detail/net/http_server.hpp
+++ b/packages/server/include/chervilspring/detail/net/http_server.hpp
@@ -121,6 +121,8 @@
     boost::asio::awaitable<void> serve(boost::asio::ip::tcp::socket socket);
     /// Serves one request. Returns whether the connection stays open for another one.
     boost::asio::awaitable<bool> serveOne(Stream &stream, boost::beast::flat_buffer &buffer);
+    /// Passes a request to the handler, and answers it if the handler throws.
+    void passOn(const HttpExchangePointer &exchange);
     boost::asio::awaitable<void> refuse(Stream &stream, unsigned status, std::string detail);
     /// Waits for an answer or the first event. Returns false if the caller disconnects before.
     boost::asio::awaitable<bool> waitForAnswer(Stream &stream, HttpExchangePointer exchange);
--- a/packages/server/src/http_server.cpp
+++ b/packages/server/src/http_server.cpp
@@ -3,6 +3,7 @@
 #include "chervilspring/detail/net/peer_disconnect.hpp"
 #include "chervilspring/detail/net/read_limits.hpp"
 #include "chervilspring/error.hpp"
+#include "chervilspring/log.hpp"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -23,6 +24,8 @@
 
 constexpr auto writeTimeout = seconds(10); // for a caller that does not read
 constexpr std::size_t maxHeaderBytes = 16384;
+constexpr auto acceptRetryDelay = milliseconds(10); // if the process is out of file descriptors
+constexpr unsigned statusInternalError = 500;
 using ReusePort = asio::detail::socket_option::boolean<SOL_SOCKET, SO_REUSEPORT>;
 
 } // namespace
@@ -112,8 +115,12 @@
             co_await acceptor_->async_accept(asio::redirect_error(use_awaitable, error));
         if (error && stopping_)
             co_return;
-        if (error)
+        if (error) {
+            writeLog(LogLevel::Warn, "accept failed reason=" + error.message());
+            asio::steady_timer pause(context_, acceptRetryDelay);
+            co_await pause.async_wait(asio::redirect_error(use_awaitable, error));
             continue;
+        }
         asio::co_spawn(context_, serve(std::move(socket)), asio::detached);
     }
 }
@@ -163,9 +170,9 @@
     const bool keepAlive = parser.get().keep_alive() && !stopping_;
     auto exchange = std::make_shared<HttpExchange>(context_, parser.release());
     ++busyConnections_;
-    handler_(exchange);
     bool callerConnected = false;
     try {
+        passOn(exchange);
         callerConnected = co_await waitForAnswer(stream, exchange);
         if (!callerConnected) {
             if (exchange->onGone_)
@@ -185,6 +192,23 @@
     co_return callerConnected &&keepAlive && !exchange->streaming_ && !stopping_;
 }
 
+void HttpServer::passOn(const HttpExchangePointer &exchange)
+{
+    try {
+        handler_(exchange);
+    } catch (const std::exception &error) {
+        writeLog(LogLevel::Error,
+                 "request failed path=" + exchange->path() + " reason=" + error.what());
+        if (exchange->streaming_)
+            throw; // the end of the connection shows that the stream is incomplete
+        HttpAnswer answer;
+        answer.status_ = statusInternalError;
+        answer.body_ = errorBody(static_cast<int>(ErrorId::InternalError), "may_have_run",
+                                 "handle request", "", error.what());
+        exchange->answer(std::move(answer));
+    }
+}
+
 asio::awaitable<bool> HttpServer::waitForAnswer(Stream &stream, HttpExchangePointer exchange)
 {
     using namespace asio::experimental::awaitable_operators;
