End every request of a stopping entry before the entry is killed

What callers saw: an entry with agents that got SIGTERM waited for its requests up to their deadlines, without regard to its grace period. The process was then killed in the middle of them: closed connections, streams without an end. For stop_delay it went on accepting such requests.

Cause: runEntry() ignored the setting grace. Admission, the commit of a record and a retry compared the expected time with the caller's deadline only.

Why it works: SIGTERM sets the time at which the entry leaves, 400 ms before the grace period ends; it limits all deadlines. An attempt that is too long for the time left is revoked at its agent at once; if it had not started, the caller is told so. A caller that doesn't read its answer holds the exit up for 200 ms.

--- a/packages/decision/include/chervilspring/detail/entry/entry.hpp
+++ b/packages/decision/include/chervilspring/detail/entry/entry.hpp
@@ -68,7 +68,7 @@
 BOOST_DESCRIBE_STRUCT(TraceQuery, (), (token_, request_, explain_))
 
 using EntryEvent = std::variant<CallerRequest, CallerGone, TraceQuery, PeerMessage, PeerLost,
-                                ProposalAnswered, ViewChanged, Wake, StopRequested>;
+                                ProposalAnswered, ViewChanged, Wake, ExitScheduled, StopRequested>;
 
 /// @brief Whether a request was executed.
 enum class RunTruth { NotRun, MayHaveRun, Ran };
@@ -278,6 +278,7 @@
     /// Number of round-robin choices so far by pipeline and stage.
     std::map<std::string, std::size_t> roundRobin_;
     std::deque<FinishedRequest> finished_; ///< oldest first, bounded
+    Instant exitAt_ = Instant::max(); ///< the process leaves then; every request ends before
     bool stopping_ = false; ///< no new requests are admitted
     bool stopped_ = false; ///< StopNow was emitted
     std::mt19937_64 random_;
--- a/packages/decision/include/chervilspring/detail/entry/flow.hpp
+++ b/packages/decision/include/chervilspring/detail/entry/flow.hpp
@@ -84,6 +84,17 @@
 /// stage is complete.
 void onDeadlineExpired(FlowContext &context, Request &request);
 
+/// @brief Whether the request is expected to end before the entry leaves.
+bool canEndBeforeExit(FlowContext &context, const Request &request);
+
+/// @brief Moves the deadline of a request to the time at which the entry leaves, if that is
+/// earlier.
+void limitToExit(EntryState &state, Request &request);
+
+/// @brief Refuses a request that has not run and can't end before the entry leaves.
+/// @return whether it was refused
+bool refuseIfLeaving(FlowContext &context, Request &request);
+
 /// @brief Takes the current attempt off its upstream's count of attempts in flight.
 void closeAttempt(FlowContext &context, Request &request);
 
--- a/packages/decision/include/chervilspring/events.hpp
+++ b/packages/decision/include/chervilspring/events.hpp
@@ -31,6 +31,13 @@
 { };
 BOOST_DESCRIBE_STRUCT(StopRequested, (), ())
 
+/// @brief Event: the process is about to stop. StopRequested follows.
+struct ExitScheduled
+{
+    Instant exitAt_{}; ///< the process leaves then, whatever it has not finished
+};
+BOOST_DESCRIBE_STRUCT(ExitScheduled, (), (exitAt_))
+
 /// @brief Event: a caller closed its connection.
 struct CallerGone
 {
--- a/packages/decision/src/entry/admission.cpp
+++ b/packages/decision/src/entry/admission.cpp
@@ -14,6 +14,7 @@
 constexpr auto maxKeyClockSkew = seconds(60); // a caller's clock may be this far ahead of the VM's
 constexpr std::size_t maxKeyLength = 200; // characters
 constexpr auto refusalRetryAfter = milliseconds(1000);
+constexpr auto stopRetryAfter = milliseconds(1); // another entry can take the request at once
 
 Answer refusal(ErrorId id, const std::string &detail, milliseconds retryAfter = {})
 {
@@ -39,8 +40,8 @@
     return {};
 }
 
-Answer checkDeadline(const CallerRequest &event, const PipelineSpec &pipeline, Instant now,
-                     Request &request)
+Answer checkDeadline(const EntryState &state, const CallerRequest &event,
+                     const PipelineSpec &pipeline, Instant now, Request &request)
 {
     const milliseconds timeout =
         event.deadline_ == milliseconds(0) ? pipeline.deadline_ : event.deadline_;
@@ -50,7 +51,7 @@
         return refusal(ErrorId::BadDeadline,
                        "the largest deadline of this pipeline is "
                            + std::to_string(pipeline.deadline_.count()) + " ms");
-    request.deadline_ = now + timeout;
+    request.deadline_ = std::min(now + timeout, state.exitAt_);
     return {};
 }
 
@@ -108,10 +109,11 @@
     const nanoseconds needed = expectedTotal(state, now, request);
     if (now + needed <= request.deadline_)
         return {};
-    return refusal(ErrorId::CannotMeetDeadline,
+    const bool leaving = request.deadline_ == state.exitAt_;
+    return refusal(leaving ? ErrorId::EntryStopping : ErrorId::CannotMeetDeadline,
                    "the stages are expected to take " + std::to_string(needed / milliseconds(1))
-                       + " ms",
-                   refusalRetryAfter);
+                       + (leaving ? " ms, and this entry leaves before" : " ms"),
+                   leaving ? stopRetryAfter : refusalRetryAfter);
 }
 
 bool isIdempotent(const PipelineSpec &pipeline)
@@ -182,7 +184,7 @@
              Request &request)
 {
     if (state.stopping_)
-        return refusal(ErrorId::EntryStopping, "this entry is stopping", milliseconds(1));
+        return refusal(ErrorId::EntryStopping, "this entry is stopping", stopRetryAfter);
     request.account_ = authenticate(state, event.credential_);
     const Fleet &fleet = state.view_->fleet_;
     const Account *account = findByName(fleet.accounts_, request.account_);
@@ -201,7 +203,8 @@
         contentDigest(request.account_ + '\n' + event.pipeline_ + '\n' + event.body_);
     if (const Answer error = checkKey(event, wall); error.errorId_ != 0)
         return error;
-    if (const Answer error = checkDeadline(event, *pipeline, now, request); error.errorId_ != 0)
+    if (const Answer error = checkDeadline(state, event, *pipeline, now, request);
+        error.errorId_ != 0)
         return error;
     if (const Answer error = checkViewAge(state, now, request); error.errorId_ != 0)
         return error;
--- a/packages/decision/src/entry/entry.cpp
+++ b/packages/decision/src/entry/entry.cpp
@@ -209,7 +209,8 @@
         request.ownsRecord_ = true;
         request.recorded_ = attemptId(request);
         request.mayHaveRun_ = request.stage_ > 0; // earlier stages have run
-        dispatchAttempt(context, request);
+        if (!refuseIfLeaving(context, request))
+            dispatchAttempt(context, request);
         return;
     case OutcomeKind::Duplicate:
     case OutcomeKind::Conflict:
@@ -468,6 +469,22 @@
     resetRestartedAgents(state, context.now_);
 }
 
+// Limits all requests to the time that is left. Takes back attempts that can't end in it, unless
+// they have started.
+void onExitScheduled(FlowContext &context, Instant exitAt)
+{
+    context.state_.exitAt_ = exitAt;
+    std::vector<std::uint64_t> tooLong;
+    for (auto &[sequence, request] : context.state_.requests_) {
+        limitToExit(context.state_, request);
+        if (request.phase_ == RequestPhase::Dispatched && !request.attempt_.mayHaveRunBefore_
+            && !canEndBeforeExit(context, request))
+            tooLong.push_back(sequence);
+    }
+    for (const std::uint64_t sequence : tooLong)
+        inquire(context, context.state_.requests_.at(sequence));
+}
+
 void stopWhenIdle(FlowContext &context)
 {
     EntryState &state = context.state_;
@@ -527,6 +544,7 @@
                    [&](const ProposalAnswered &e) { onProposalAnswered(context, e); },
                    [&](const ViewChanged &e) { onViewChanged(context, e); },
                    [](const Wake &) {},
+                   [&](const ExitScheduled &e) { onExitScheduled(context, e.exitAt_); },
                    [&](const StopRequested &) { state.stopping_ = true; },
                },
                event);
--- a/packages/decision/src/entry/flow.cpp
+++ b/packages/decision/src/entry/flow.cpp
@@ -30,6 +30,7 @@
 constexpr std::uint32_t maxRequestCrashes = 2; // upstream crashes until the request is refused
 constexpr std::size_t maxFinishedRequests = 2048; // kept for explanations
 constexpr auto retryAfterFailure = milliseconds(500);
+constexpr auto retryAfterStop = milliseconds(1); // another entry can take the request at once
 
 nanoseconds timeLeft(const FlowContext &context, const Request &request)
 {
@@ -262,8 +263,39 @@
     startAttempt(context, request);
 }
 
+bool canEndBeforeExit(FlowContext &context, const Request &request)
+{
+    const Instant exitAt = context.state_.exitAt_;
+    return exitAt == Instant::max()
+        || context.now_ + expectedTotal(context.state_, context.now_, request) <= exitAt;
+}
+
+void limitToExit(EntryState &state, Request &request)
+{
+    if (request.deadline_ <= state.exitAt_)
+        return;
+    request.deadline_ = state.exitAt_;
+    scheduleTimer(state, request, request.deadline_);
+    if (request.phase_ != RequestPhase::Dispatched || stageOf(request).idempotent_)
+        return;
+    request.attempt_.checkAt_ =
+        std::min(request.attempt_.checkAt_, request.deadline_ - finalCheckLead);
+    scheduleTimer(state, request, request.attempt_.checkAt_);
+}
+
+bool refuseIfLeaving(FlowContext &context, Request &request)
+{
+    if (request.mayHaveRun_ || canEndBeforeExit(context, request))
+        return false;
+    fail(context, request, ErrorId::EntryStopping, "this entry leaves before the request can end",
+         retryAfterStop);
+    return true;
+}
+
 void startAttempt(FlowContext &context, Request &request)
 {
+    if (refuseIfLeaving(context, request))
+        return;
     const Route route = chooseUpstream(context.state_, context.now_, request);
     recordRoute(context, request, route);
     if (!route.upstream_) {
@@ -388,6 +420,8 @@
     closeAttempt(context, request);
     request.mayHaveRun_ = request.attempt_.mayHaveRunBefore_;
     logDecision(context, request, "never_started=" + reason);
+    if (refuseIfLeaving(context, request))
+        return;
     if (reason == "request_crashes_upstreams") {
         fail(context, request, ErrorId::RequestRefused,
              "this request has crashed upstreams that ran it");
@@ -520,8 +554,11 @@
              "an earlier request with this key has not finished");
         return;
     }
-    fail(context, request, ErrorId::DeadlineExceeded,
-         "the deadline passed in stage " + stageOf(request).name_);
+    const bool leaving = context.now_ >= context.state_.exitAt_;
+    fail(context, request,
+         leaving && !request.mayHaveRun_ ? ErrorId::EntryStopping : ErrorId::DeadlineExceeded,
+         (leaving ? "this entry left in stage " : "the deadline passed in stage ")
+             + stageOf(request).name_);
 }
 
 } // namespace chervilspring
--- a/packages/server/include/chervilspring/detail/process/entry_shard.hpp
+++ b/packages/server/include/chervilspring/detail/process/entry_shard.hpp
@@ -39,10 +39,13 @@
     /// Thread-safe.
     void sendIfConnected(const std::string &peer, const Message &message);
 
-    /// @brief Makes /readyz report 503 from now on. Thread-safe.
-    void markUnready();
+    /// @brief Makes /readyz report 503 from now on, and refuses what can't end in time.
+    /// Thread-safe.
+    /// @param exitAt when the process leaves; all requests are answered by then
+    void scheduleExit(Instant exitAt);
 
-    /// @brief Refuses new requests and calls onStopped once the last one was answered. Thread-safe.
+    /// @brief Refuses new requests and calls onStopped once the last one was answered, or soon
+    /// after the time given to scheduleExit(). Thread-safe.
     /// @param onStopped called on the traffic thread
     void stop(std::function<void()> onStopped);
 
@@ -70,7 +73,7 @@
     std::shared_ptr<const ViewChanged> appliedView_;
     std::map<std::uint64_t, HttpExchangePointer> exchanges_; ///< requests in progress, by token
     std::uint64_t nextToken_ = 1; ///< token of the next request
-    bool ready_ = true; ///< markUnready() has not been called
+    bool ready_ = true; ///< scheduleExit() has not been called
     std::function<void()> onStopped_;
     std::thread thread_;
 };
--- a/packages/server/src/entry_shard.cpp
+++ b/packages/server/src/entry_shard.cpp
@@ -12,6 +12,9 @@
 
 namespace {
 
+// For writing the answers that a stop leaves; a caller that doesn't read doesn't hold it up.
+constexpr nanoseconds lastAnswersTimeout = milliseconds(200);
+
 std::string shardName(const Settings &settings, std::uint32_t shard)
 {
     return settings.name_ + "." + std::to_string(shard);
@@ -175,9 +178,12 @@
     });
 }
 
-void EntryShard::markUnready()
+void EntryShard::scheduleExit(Instant exitAt)
 {
-    boost::asio::post(context_, [this] { ready_ = false; });
+    boost::asio::post(context_, [this, exitAt] {
+        ready_ = false;
+        handle(ExitScheduled{exitAt});
+    });
 }
 
 void EntryShard::stop(std::function<void()> onStopped)
@@ -226,7 +232,9 @@
                        [&](const StageMeasured &e) { metrics_.add(e); },
                        [&](const RequestMeasured &e) { metrics_.add(e); },
                        [](const DecisionLine &e) { writeLog(LogLevel::Info, e.text_); },
-                       [&](const StopNow &) { http_.whenIdle(Instant::max(), onStopped_); },
+                       [&](const StopNow &) {
+                           http_.whenIdle(state_.exitAt_ + lastAnswersTimeout, onStopped_);
+                       },
                    },
                    effect);
     }
--- a/packages/server/src/run_process.cpp
+++ b/packages/server/src/run_process.cpp
@@ -12,6 +12,7 @@
 
 #include <signal.h>
 
+#include <algorithm>
 #include <cstdlib>
 
 namespace chervilspring {
@@ -22,6 +23,8 @@
 
 constexpr int exitPortUnavailable = 3;
 constexpr int exitStorageFailure = 4;
+// An entry or agent leaves by itself this long before the grace period ends and it is killed.
+constexpr nanoseconds exitBeforeGraceEnd = milliseconds(400);
 constexpr auto settingsPollInterval = seconds(2); // between checks of the settings file
 
 void logStarted(const Settings &settings, std::uint16_t httpPort)
@@ -160,9 +163,10 @@
     std::size_t runningShards = shards.size();
     signals.async_wait([&](boost::system::error_code, int) {
         writeLog(LogLevel::Info, "stopping name=" + settings.name_);
+        const nanoseconds timeLeft = settings.grace_ - exitBeforeGraceEnd;
         for (const auto &shard : shards)
-            shard->markUnready();
-        stopTimer.expires_after(settings.stopDelay_);
+            shard->scheduleExit(BootClock::now() + timeLeft);
+        stopTimer.expires_after(std::min<nanoseconds>(settings.stopDelay_, timeLeft));
         stopTimer.async_wait([&](boost::system::error_code) {
             for (const auto &shard : shards) {
                 shard->stop([&] {
--- a/packages/server/tests/unit-stops.cpp
+++ b/packages/server/tests/unit-stops.cpp
@@ -106,6 +106,26 @@
     BOOST_TEST(loadBalancer.sent_ > 100);
 }
 
+// Guards against an entry that waits for its requests beyond its grace period and is then killed.
+BOOST_AUTO_TEST_CASE(entry_answers_its_requests_before_the_grace_period_ends)
+{
+    constexpr auto grace = milliseconds(2000);
+    FixtureSettings settings;
+    settings.graceMs_ = grace.count();
+    TestFleet fleet("stops-grace", settings);
+    for (const char *upstream : {"index-1", "index-2"})
+        fleet.fixture_.signal(std::string("up-") + upstream, SIGSTOP);
+    auto answer = std::async(std::launch::async, [&] {
+        return fleet.fixture_.call("e1", "note", "shop", R"({"marker":"m"})");
+    });
+    std::this_thread::sleep_for(milliseconds(200));
+    fleet.fixture_.signal("e1", SIGTERM);
+    BOOST_TEST(fleet.fixture_.waitForEnd("e1", grace) == 0);
+    const CallerAnswer received = answer.get();
+    BOOST_TEST(received.status_ == 504u, received.body_);
+    BOOST_TEST(TestFleet::ran(received) == "may_have_run");
+}
+
 // Guards against a leader that ends while an operator's command waits for the other members.
 BOOST_AUTO_TEST_CASE(operator_call_that_is_pending_at_a_planned_stop_is_answered)
 {
--- a/standins/include/standins/fleet_fixture.hpp
+++ b/standins/include/standins/fleet_fixture.hpp
@@ -51,6 +51,7 @@
     int electionTimeoutMs_ = 600;
     int snapshotEntries_ = 4096;
     int stopDelayMs_ = 200;
+    int graceMs_ = 8000;
     int staleAfterMs_ = 16000;
     int replaceAfterMs_ = 30000;
     int nodeLeaseMs_ = 3000;
--- a/standins/src/fleet_fixture.cpp
+++ b/standins/src/fleet_fixture.cpp
@@ -151,8 +151,9 @@
          << "\naddress = 127.0.0.1\nport = " << peerPorts_[name]
          << "\nhttp_port = " << httpPorts_[name] << "\nsecret = " << secret()
          << "\nread_timeout = 1000\nstale_after = " << settings_.staleAfterMs_
-         << "\nstop_delay = " << settings_.stopDelayMs_ << "\ncontrol = " << formatControls()
-         << "\n[log]\nfile = " << logFile(name).string() << "\n"
+         << "\nstop_delay = " << settings_.stopDelayMs_ << "\ngrace = " << settings_.graceMs_
+         << "\ncontrol = " << formatControls() << "\n[log]\nfile = " << logFile(name).string()
+         << "\n"
          << extraSections;
 }
 
