End an agent before it is killed, and give back what it can't run

What callers saw: an agent that got SIGTERM waited for its running and queued attempts up to their deadlines, without regard to its grace period, and was killed in the middle. Attempts in its queue, which another upstream could have run, were found out about only afterwards.

Cause: runAgent() ignored the setting grace, and the reducer knew no time at which the process leaves.

At the exit idempotent calls are cancelled and reported as failed, so that entries run them elsewhere. Nothing is said of calls that must not be repeated: their outcome isn't known, and the entry finds out by its inquiries, as after any loss of an agent.

--- a/packages/decision/include/chervilspring/detail/agent/agent.hpp
+++ b/packages/decision/include/chervilspring/detail/agent/agent.hpp
@@ -58,7 +58,7 @@
 BOOST_DESCRIBE_STRUCT(CallEnded, (), (id_, kind_, body_, detail_))
 
 using AgentEvent = std::variant<PeerMessage, UpstreamAnnounced, UpstreamLeaving, CallTokens,
-                                CallEnded, ViewChanged, Wake, StopRequested>;
+                                CallEnded, ViewChanged, Wake, ExitScheduled, StopRequested>;
 
 /// @brief Effect: start a call to the upstream.
 struct StartCall
@@ -125,6 +125,7 @@
     /// Service time in ns that each account has used, for fair queueing.
     std::map<std::string, std::int64_t> serviceTimeByAccount_;
     nanoseconds serviceTime_{0}; ///< moving mean over all calls; 0: unknown
+    Instant exitAt_ = Instant::max(); ///< the process leaves then, also during calls
     bool stopping_ = false; ///< new dispatches are refused
     bool stopped_ = false; ///< StopNow was emitted
 };
--- a/packages/decision/src/agent/agent.cpp
+++ b/packages/decision/src/agent/agent.cpp
@@ -403,9 +403,10 @@
         announce(state, effects);
 }
 
-void stopWhenIdle(AgentState &state, AgentEffects &effects)
+void stopWhenIdle(AgentState &state, Instant now, AgentEffects &effects)
 {
-    if (!state.stopping_ || state.stopped_ || !state.queued_.empty() || !state.running_.empty())
+    const bool isIdle = state.queued_.empty() && state.running_.empty();
+    if (!state.stopping_ || state.stopped_ || (!isIdle && now < state.exitAt_))
         return;
     state.stopped_ = true;
     changePhase(state, UpstreamTrigger::LeaseExpired, effects);
@@ -414,6 +415,35 @@
     effects.push_back(StopNow{});
 }
 
+// The last time at which an attempt can start that is expected to end before the exit.
+Instant lastStart(const AgentState &state)
+{
+    return state.exitAt_ == Instant::max() ? state.exitAt_ : state.exitAt_ - state.serviceTime_;
+}
+
+// Gives back queued attempts that can't end before the exit, and at the exit the running ones. A
+// call that must not be repeated is left alone: whether it takes effect is unknown.
+void giveUpBeforeExit(AgentState &state, Instant now, AgentEffects &effects)
+{
+    if (now >= lastStart(state)) {
+        for (const AttemptId &id : std::set<AttemptId>(state.queued_))
+            revokeAndRefuse(state, now, id, "upstream_not_serving", effects);
+    }
+    if (now < state.exitAt_)
+        return;
+    for (const AttemptId &id : state.running_) {
+        Attempt &attempt = state.attempts_.at(id);
+        if (!attempt.dispatch_.idempotent_ || attempt.cancelled_)
+            continue;
+        attempt.cancelled_ = true;
+        logDecision(state, id, "cancelled=exit", effects);
+        effects.push_back(CancelCall{id});
+        for (const std::string &peer : attempt.peers_)
+            effects.push_back(SendToPeer{
+                peer, makeResult(state, id, ResultKind::Failed, "the agent left during the call")});
+    }
+}
+
 void removeExpired(AgentState &state, Instant now)
 {
     while (!state.removals_.empty() && state.removals_.begin()->first <= now) {
@@ -440,6 +470,7 @@
     }
     for (const AttemptId &id : expired)
         revokeAndRefuse(state, now, id, "deadline_passed", effects);
+    giveUpBeforeExit(state, now, effects);
 }
 
 void onPeerMessage(AgentState &state, Instant now, const PeerMessage &event, AgentEffects &effects)
@@ -479,6 +510,10 @@
         wake = state.announcedAt_ + announceLease;
     for (const AttemptId &id : state.queued_)
         wake = std::min(wake, state.attempts_.at(id).deadline_);
+    if (!state.queued_.empty())
+        wake = std::min(wake, lastStart(state));
+    if (!state.stopped_ && !state.running_.empty())
+        wake = std::min(wake, state.exitAt_);
     if (!state.removals_.empty())
         wake = std::min(wake, state.removals_.begin()->first);
     return wake;
@@ -498,13 +533,17 @@
                        state.asOf_ = e.asOf_;
                    },
                    [](const Wake &) {},
+                   [&](const ExitScheduled &e) {
+                       state.exitAt_ = e.exitAt_;
+                       giveUpBeforeExit(state, now, effects);
+                   },
                    [&](const StopRequested &) {
                        state.stopping_ = true;
                        onLeaving(state, effects);
                    },
                },
                event);
-    stopWhenIdle(state, effects);
+    stopWhenIdle(state, now, effects);
 }
 
 } // namespace chervilspring
--- a/packages/decision/tests/unit-agent.cpp
+++ b/packages/decision/tests/unit-agent.cpp
@@ -256,4 +256,47 @@
     BOOST_TEST(effectsOf<StopNow>(last).size() == 1u);
 }
 
+// Guards against attempts that wait at an agent until its process is killed.
+BOOST_AUTO_TEST_CASE(queued_attempt_that_can_not_end_before_the_exit_is_given_back)
+{
+    AgentFixture fixture;
+    fixture.send(fixture.dispatch(1));
+    fixture.now_ += milliseconds(300); // the service time
+    fixture.handle(CallEnded{fixture.dispatch(1).id_, ResultKind::Ok, "", ""});
+    fixture.send(fixture.dispatch(2));
+    fixture.send(fixture.dispatch(3));
+    const auto early = fixture.handle(ExitScheduled{fixture.now_ + milliseconds(500)});
+    BOOST_TEST(messagesOf<AttemptResult>(early).empty());
+    fixture.handle(StopRequested{});
+    BOOST_TEST((nextWake(fixture.state_) <= fixture.now_ + milliseconds(200)));
+    fixture.now_ += milliseconds(200);
+    const auto results = messagesOf<AttemptResult>(fixture.handle(Wake{}));
+    BOOST_REQUIRE(results.size() == 1u);
+    BOOST_TEST((results[0].id_ == fixture.dispatch(3).id_));
+    BOOST_TEST((results[0].kind_ == ResultKind::NotRun));
+    BOOST_TEST(results[0].detail_ == "upstream_not_serving");
+}
+
+// Guards against an agent that waits for a call until its process is killed.
+BOOST_DATA_TEST_CASE(agent_ends_at_the_exit_time_during_a_call,
+                     boost::unit_test::data::make({true, false}), idempotent)
+{
+    AgentFixture fixture;
+    Dispatch dispatch = fixture.dispatch(1);
+    dispatch.idempotent_ = idempotent;
+    fixture.send(dispatch);
+    fixture.handle(ExitScheduled{fixture.now_ + milliseconds(500)});
+    BOOST_TEST(effectsOf<StopNow>(fixture.handle(StopRequested{})).empty());
+    BOOST_TEST((nextWake(fixture.state_) <= fixture.now_ + milliseconds(500)));
+    fixture.now_ += milliseconds(500);
+    const auto effects = fixture.handle(Wake{});
+    BOOST_TEST(effectsOf<StopNow>(effects).size() == 1u);
+    // Whether the call of a non-idempotent stage takes effect is unknown, so nothing is said of it.
+    BOOST_TEST(effectsOf<CancelCall>(effects).size() == (idempotent ? 1u : 0u));
+    const auto results = messagesOf<AttemptResult>(effects);
+    BOOST_REQUIRE(results.size() == (idempotent ? 1u : 0u));
+    if (idempotent)
+        BOOST_TEST((results[0].kind_ == ResultKind::Failed));
+}
+
 } // namespace
--- a/packages/server/include/chervilspring/detail/process/agent_thread.hpp
+++ b/packages/server/include/chervilspring/detail/process/agent_thread.hpp
@@ -34,10 +34,11 @@
     /// @brief Sends a message to a peer if a connection is open; drops it otherwise. Thread-safe.
     void sendIfConnected(const std::string &peer, const Message &message);
 
-    /// @brief Announces that the upstream is leaving, finishes the queued and the running attempts,
-    /// then calls onStopped. Thread-safe.
+    /// @brief Announces that the upstream is leaving, finishes the queued and the running attempts
+    /// as far as the time allows, then calls onStopped. Thread-safe.
+    /// @param exitAt when onStopped is called at the latest
     /// @param onStopped called on the traffic thread
-    void stop(std::function<void()> onStopped);
+    void stop(Instant exitAt, std::function<void()> onStopped);
 
 private:
     void handle(const AgentEvent &event);
--- a/packages/server/src/agent_thread.cpp
+++ b/packages/server/src/agent_thread.cpp
@@ -146,10 +146,11 @@
     });
 }
 
-void AgentThread::stop(std::function<void()> onStopped)
+void AgentThread::stop(Instant exitAt, std::function<void()> onStopped)
 {
-    asio::post(context_, [this, onStopped = std::move(onStopped)] {
+    asio::post(context_, [this, exitAt, onStopped = std::move(onStopped)] {
         onStopped_ = onStopped;
+        handle(ExitScheduled{exitAt});
         handle(StopRequested{});
     });
 }
--- a/packages/server/src/run_process.cpp
+++ b/packages/server/src/run_process.cpp
@@ -222,7 +222,7 @@
     asio::steady_timer stopTimer(mainContext);
     signals.async_wait([&](boost::system::error_code, int) {
         writeLog(LogLevel::Info, "stopping name=" + settings.name_);
-        agent->stop([&] {
+        agent->stop(BootClock::now() + settings.grace_ - exitBeforeGraceEnd, [&] {
             // Gives the last announcement time to reach the control processes.
             asio::post(mainContext, [&] {
                 constexpr auto lastAnnouncementDelay = milliseconds(100);
--- a/packages/server/tests/unit-stops.cpp
+++ b/packages/server/tests/unit-stops.cpp
@@ -126,6 +126,28 @@
     BOOST_TEST(TestFleet::ran(received) == "may_have_run");
 }
 
+// Guards against an agent that waits for a call beyond its grace period and is then killed.
+BOOST_AUTO_TEST_CASE(agent_ends_before_the_grace_period_ends)
+{
+    constexpr auto grace = milliseconds(2000);
+    FixtureSettings settings;
+    settings.graceMs_ = grace.count();
+    TestFleet fleet("stops-agent-grace", settings);
+    const std::vector<std::string> agents = {"index-1", "index-2"};
+    for (const std::string &agent : agents)
+        fleet.fixture_.signal("up-" + agent, SIGSTOP);
+    auto answer = std::async(std::launch::async, [&] {
+        return fleet.fixture_.call("e1", "note", "shop", R"({"marker":"m"})");
+    });
+    std::this_thread::sleep_for(milliseconds(200));
+    for (const std::string &agent : agents)
+        fleet.fixture_.signal(agent, SIGTERM);
+    for (const std::string &agent : agents)
+        BOOST_TEST(fleet.fixture_.waitForEnd(agent, grace) == 0, agent);
+    const CallerAnswer received = answer.get();
+    BOOST_TEST(received.status_ >= 500u, received.body_);
+}
+
 // Guards against a leader that ends while an operator's command waits for the other members.
 BOOST_AUTO_TEST_CASE(operator_call_that_is_pending_at_a_planned_stop_is_answered)
 {
