Keep a control process running while its disk is full

Each time the requests that it planned lost their scheduler, and upstreams and operators their connections.

Cause: any failed write was taken for the loss of the disk.

No batch counts as synced before its own fdatasync() has succeeded, so the member acknowledges nothing, as on a disk that stalls. full_disks_delay_a_proposal_only_without_a_majority shows this for the reducers; it passes before and after, since they don't change. A failed sync and any other failed write still end the process, and full_disk_is_reported_and_the_log_can_be_opened_again still holds for a log whose owner doesn't wait. A crash in the middle of a record leaves an incomplete one at the end of the log, which is removed as before.

Not done: callers aren't refused at once while a majority of the disks is full (docs/design/control.md). No test with a real process on a full file system: that takes a mount of its own.

--- a/packages/decision/tests/control_group.hpp
+++ b/packages/decision/tests/control_group.hpp
@@ -152,7 +152,8 @@
     void syncOldest(const std::string &name)
     {
         GroupMember &member = members_.at(name);
-        if (!member.up_ || frozen_.contains(name) || member.disk_.unsynced_.empty())
+        if (!member.up_ || frozen_.contains(name) || stalledDisks_.contains(name)
+            || member.disk_.unsynced_.empty())
             return;
         const PersistBatch batch = member.disk_.unsynced_.front();
         member.disk_.unsynced_.pop_front();
@@ -218,6 +219,10 @@
     }
     /// @brief Suspends a process: it handles no events and syncs nothing until thaw is called.
     void freeze(const std::string &name) { frozen_.insert(name); }
+    /// @brief Makes the disk of a process sync nothing, like a full one, until it is resumed.
+    void stallDisk(const std::string &name) { stalledDisks_.insert(name); }
+    /// @brief Lets the disk of a process sync again.
+    void resumeDisk(const std::string &name) { stalledDisks_.erase(name); }
     /// @brief Resumes a frozen process.
     void thaw(const std::string &name) { frozen_.erase(name); }
 
@@ -252,7 +257,8 @@
     {
         bool busy = false;
         for (const std::string &name : names_) {
-            if (!members_.at(name).disk_.unsynced_.empty() && !frozen_.contains(name)) {
+            if (!members_.at(name).disk_.unsynced_.empty() && !frozen_.contains(name)
+                && !stalledDisks_.contains(name)) {
                 syncOldest(name);
                 busy = true;
             }
@@ -318,6 +324,7 @@
     std::vector<GroupMessage> messages_;
     std::set<std::pair<std::string, std::string>> cutLinks_; ///< sender and recipient
     std::set<std::string> frozen_;
+    std::set<std::string> stalledDisks_; ///< processes whose disks sync nothing
     Instant now_ = Instant(seconds(1000));
     std::uint64_t nextMemberId_ = 101;
     std::uint64_t nextToken_ = 1;
--- a/packages/decision/tests/unit-consensus.cpp
+++ b/packages/decision/tests/unit-consensus.cpp
@@ -234,6 +234,58 @@
     BOOST_TEST((s.group_.now() - before <= milliseconds(200)));
 }
 
+struct FullDiskRow
+{
+    const char *name_;
+    bool leader_; ///< the leader's disk is full
+    int followers_; ///< number of followers with a full disk
+    bool accepted_; ///< a majority can still store a proposal
+    bool keepsLeader_; ///< the leader still hears from a majority
+};
+std::ostream &operator<<(std::ostream &out, const FullDiskRow &row)
+{
+    return out << row.name_;
+}
+
+const FullDiskRow fullDiskTable[] = {
+    {"leader", true, 0, true, true},
+    {"one follower", false, 1, true, true},
+    {"leader and one follower", true, 1, false, true},
+    {"both followers", false, 2, false, false},
+};
+
+// A member whose disk is full goes on, but neither acknowledges entries nor votes until there is
+// space again.
+BOOST_DATA_TEST_CASE(full_disks_delay_a_proposal_only_without_a_majority,
+                     boost::unit_test::data::make(fullDiskTable), row)
+{
+    StableGroup s(3);
+    const std::string leader = s.group_.leader();
+    int followers = 0;
+    for (const std::string &name : s.group_.names()) {
+        if (name == leader ? row.leader_ : followers++ < row.followers_)
+            s.group_.stallDisk(name);
+    }
+    const std::uint64_t token = s.group_.propose(ReserveRecord{testRecord("during")});
+    s.group_.run(milliseconds(5000));
+    BOOST_TEST((s.group_.answers_[token].kind_ == OutcomeKind::Accepted) == row.accepted_);
+    const auto isStored = [&](const std::string &name) {
+        const auto &entries = s.group_.member(name).disk_.synced_.entries_;
+        return std::any_of(entries.begin(), entries.end(), [](const LogEntry &entry) {
+            return std::holds_alternative<ReserveRecord>(entry.command_);
+        });
+    };
+    const auto stored = std::count_if(s.group_.names().begin(), s.group_.names().end(), isStored);
+    BOOST_TEST(stored == 3 - row.followers_ - (row.leader_ ? 1 : 0));
+    BOOST_TEST((s.group_.leader() == leader) == row.keepsLeader_);
+    for (const std::string &name : s.group_.names())
+        s.group_.resumeDisk(name);
+    s.group_.run(milliseconds(5000));
+    const std::uint64_t later = s.group_.propose(ReserveRecord{testRecord("after")});
+    s.group_.run(milliseconds(500));
+    BOOST_TEST((s.group_.answers_[later].kind_ == OutcomeKind::Accepted));
+}
+
 struct StopRow
 {
     int size_; ///< number of control processes
--- a/packages/server/src/control_thread.cpp
+++ b/packages/server/src/control_thread.cpp
@@ -382,6 +382,7 @@
     const auto [syncs, batches] = storage_.syncAndBatchCounts();
     metrics_.set("control_syncs", static_cast<double>(syncs));
     metrics_.set("control_batches", static_cast<double>(batches));
+    metrics_.set("control_disk_full", storage_.diskFull() ? 1 : 0);
     metrics_.set("control_term", static_cast<double>(state_.consensus_.hardState_.term_));
     metrics_.set("control_commit", static_cast<double>(state_.consensus_.commitIndex_));
     metrics_.set("control_records", static_cast<double>(state_.fleet_.records_.size()));
--- a/packages/storage/include/chervilspring/disk_log.hpp
+++ b/packages/storage/include/chervilspring/disk_log.hpp
@@ -21,6 +21,9 @@
 {
     std::function<long(int, const void *, std::size_t)> write_; ///< like write(2)
     std::function<int(int)> sync_; ///< like fdatasync(2)
+    /// Called when the disk is full; waits before the write goes on. Returns false to give up.
+    /// Empty: a full disk is a failure like any other.
+    std::function<bool()> waitForSpace_;
 };
 
 /// @brief Returns the real system calls, write(2) and fdatasync(2).
@@ -42,6 +45,9 @@
     DiskLog &operator=(DiskLog &&other) noexcept;
     ~DiskLog();
 
+    /// @brief Sets DiskCalls::waitForSpace_.
+    void setWaitForSpace(std::function<bool()> wait) { calls_.waitForSpace_ = std::move(wait); }
+
     /// @brief Writes batches and makes them durable with one sync.
     /// @param batches the batches in order
     /// @return ErrorId::StorageFailed on any failure; the log must not be used after that
@@ -49,6 +55,9 @@
 
 private:
     DiskLog(std::filesystem::path folder, DiskCalls calls);
+    /// @brief Waits for space if the last call failed on a full disk.
+    /// @return whether to repeat that call
+    bool waitedForSpace() const;
     leaf::result<void> writeAll(int file, const std::string &bytes, const char *step);
     /// @brief Replaces a file of the folder atomically, by a synced temporary file and a rename.
     leaf::result<void> replaceFile(const char *name, const std::string &bytes);
--- a/packages/storage/src/disk_log.cpp
+++ b/packages/storage/src/disk_log.cpp
@@ -209,7 +209,8 @@
 DiskCalls systemDiskCalls()
 {
     return {[](int file, const void *data, std::size_t size) { return ::write(file, data, size); },
-            [](int file) { return ::fdatasync(file); }};
+            [](int file) { return ::fdatasync(file); },
+            {}};
 }
 
 DiskLog::DiskLog(std::filesystem::path folder, DiskCalls calls)
@@ -275,14 +276,26 @@
     return {};
 }
 
+// A write that found no space has written nothing, so it can be repeated. A failed sync can't: it
+// may have dropped data that was written before.
+bool DiskLog::waitedForSpace() const
+{
+    const int error = errno;
+    const bool full = error == ENOSPC || error == EDQUOT;
+    const bool waited = full && calls_.waitForSpace_ && calls_.waitForSpace_();
+    errno = error;
+    return waited;
+}
+
 leaf::result<void> DiskLog::writeAll(int file, const std::string &bytes, const char *step)
 {
     std::size_t written = 0;
     while (written < bytes.size()) {
         const long count = calls_.write_(file, bytes.data() + written, bytes.size() - written);
-        if (count <= 0)
+        if (count > 0)
+            written += static_cast<std::size_t>(count);
+        else if (!waitedForSpace())
             return storageError(step, folder_);
-        written += static_cast<std::size_t>(count);
     }
     return {};
 }
@@ -290,7 +303,10 @@
 leaf::result<void> DiskLog::replaceFile(const char *name, const std::string &bytes)
 {
     const auto temporary = folder_ / (std::string(name) + ".new");
-    const int file = ::open(temporary.c_str(), O_WRONLY | O_CREAT | O_TRUNC | O_CLOEXEC, 0640);
+    int file = -1;
+    do {
+        file = ::open(temporary.c_str(), O_WRONLY | O_CREAT | O_TRUNC | O_CLOEXEC, 0640);
+    } while (file < 0 && waitedForSpace());
     if (file < 0)
         return storageError("create file", temporary);
     auto written = writeAll(file, bytes, "write file");
