--- a/packages/server/include/chervilspring/detail/net/run_client.hpp
+++ b/packages/server/include/chervilspring/detail/net/run_client.hpp
@@ -18,10 +18,10 @@
 {
     /// Called before the first events of a run are sent to the caller; it may stop the run.
     std::function<void(const RunStarted &)> onStarted_;
-    /// Called when a stream has been silent, see StartRun::silenceLimit_; it may stop the run.
-    std::function<void(const RunSilent &)> onSilent_;
     /// Called when a run has ended by itself, not by stop().
     std::function<void(const RunEnded &)> onEnded_;
+    /// Called when a stream has been silent, see StartRun::silenceLimit_; it may stop the run.
+    std::function<void(const RunSilent &)> onSilent_;
 };
 
 /// @brief Connections to upstreams and the runs on them. Not thread-safe.
