Keep an upstream's connection alive until the request is written

A run ends with the head of the answer if the upstream refuses the request, and its connection was destroyed at once, while the request's body could still be in the middle of being written: the next step of the write then used the destroyed stream. An upstream that rejects long requests before it has read them is enough (bodies above one write of 64 KB). What the freed memory held decided whether nothing was seen or the entry process ended, and with it every request on it.

Before, early_refusal_ends_the_run_while_its_long_body_is_written, built with -fsanitize=address, in each of five runs: ERROR: AddressSanitizer: heap-use-after-free ... in basic_stream::get_executor() ... transfer_op<write_op<..., RunClient::sendRequest(const RunPointer&)::<lambda ... After: no error in five runs of all cases of unit-run_client.cpp with the sanitizer. In the release build the test checks that the run ends as not executed.

The write's handler now shares the connection, which is closed, not only released, when the run ends. A handler of an earlier connection no longer sets requestWritten_ for the second one.

--- a/packages/server/include/chervilspring/detail/net/idle_connections.hpp
+++ b/packages/server/include/chervilspring/detail/net/idle_connections.hpp
@@ -28,7 +28,7 @@
     Instant usableUntil_{}; ///< the server may close the idle connection after this time
 };
 
-using UpstreamConnectionPointer = std::unique_ptr<UpstreamConnection>;
+using UpstreamConnectionPointer = std::shared_ptr<UpstreamConnection>;
 
 /// @brief Idle connections, grouped by a key that the owner chooses for each server.
 class IdleConnections
--- a/packages/server/include/chervilspring/detail/net/run_client.hpp
+++ b/packages/server/include/chervilspring/detail/net/run_client.hpp
@@ -63,6 +63,7 @@
     boost::asio::awaitable<void> tryConnect(Upstream upstream,
                                             std::function<void(bool reachable)> done);
     boost::asio::awaitable<void> perform(RunPointer run);
+    static void closeConnection(Run &run);
     static RunEnded failedRun(const Run &run, const std::string &reason);
     boost::asio::awaitable<RunEnded> runAttempt(RunPointer run);
     /// Takes an idle connection or opens one. Returns false and fills end if that fails.
--- a/packages/server/src/http_client.cpp
+++ b/packages/server/src/http_client.cpp
@@ -79,7 +79,7 @@
         if (result.end_ != HttpCallEnd::Broken || receivedBytes)
             co_return result;
     }
-    auto connection = std::make_unique<UpstreamConnection>(context_);
+    auto connection = std::make_shared<UpstreamConnection>(context_);
     beast::tcp_stream &stream = connection->stream_;
     stream.expires_after(std::min<nanoseconds>(connectTimeout, call.limit_));
     boost::system::error_code error;
--- a/packages/server/src/run_client.cpp
+++ b/packages/server/src/run_client.cpp
@@ -139,6 +139,13 @@
     done(!error);
 }
 
+void RunClient::closeConnection(Run &run)
+{
+    if (run.connection_)
+        run.connection_->stream_.close();
+    run.connection_.reset();
+}
+
 // The end of a run that an exception has left.
 RunEnded RunClient::failedRun(const Run &run, const std::string &reason)
 {
@@ -167,7 +174,7 @@
         end = failedRun(*run, error.what());
     }
     runs_.erase({run->command_.token_, run->command_.attempt_});
-    run->connection_.reset();
+    closeConnection(*run);
     if (!run->stopped_)
         handlers_.onEnded_(end);
 }
@@ -184,7 +191,7 @@
     bool headRead = co_await exchangeHeads(run, end, noAnswerBytes);
     // The upstream may have closed the idle connection; retry on a new one.
     if (!headRead && noAnswerBytes && run->connectionReused_ && !run->stopped_) {
-        run->connection_.reset();
+        closeConnection(*run);
         idle_.closeAll(connectionKey(run->command_.upstream_));
         end.detail_.clear();
         headRead = co_await connect(run, end) && co_await exchangeHeads(run, end, noAnswerBytes);
@@ -230,7 +237,7 @@
     run->connectionReused_ = run->connection_ != nullptr;
     if (run->connectionReused_)
         co_return true;
-    run->connection_ = std::make_unique<UpstreamConnection>(context_);
+    run->connection_ = std::make_shared<UpstreamConnection>(context_);
     ++connectionsOpened_;
     beast::tcp_stream &stream = run->connection_->stream_;
     stream.expires_after(std::min<nanoseconds>(connectTimeout, run->command_.remaining_));
@@ -248,7 +255,8 @@
 }
 
 // Writes the request while the answer is being read: an upstream may answer before it has read a
-// long body. The handler keeps the run alive until the write has ended.
+// long body. The handler keeps the run and the connection alive until the write has ended, which
+// may be after the end of the run.
 void RunClient::sendRequest(const RunPointer &run)
 {
     run->requestSent_ = true;
@@ -257,7 +265,10 @@
         asio::buffer(run->requestHead_), asio::buffer(run->exchange_->request().body())};
     asio::async_write(
         run->connection_->stream_, buffers,
-        [run](boost::system::error_code error, std::size_t) { run->requestWritten_ = !error; });
+        [run, connection = run->connection_](boost::system::error_code error, std::size_t) {
+            if (run->connection_ == connection)
+                run->requestWritten_ = !error;
+        });
 }
 
 asio::awaitable<bool> RunClient::exchangeHeads(RunPointer run, RunEnded &end, bool &noAnswerBytes)
--- a/packages/server/tests/unit-run_client.cpp
+++ b/packages/server/tests/unit-run_client.cpp
@@ -320,4 +320,34 @@
     BOOST_TEST((results == std::vector<bool>{false}));
 }
 
+// Answers as soon as it has read some bytes of a request, and reads on.
+asio::awaitable<void> answerEarly(tcp::acceptor &acceptor, std::string answer)
+{
+    while (true) {
+        tcp::socket socket = co_await acceptor.async_accept(asio::use_awaitable);
+        std::string buffer(4096, '\0');
+        boost::system::error_code error;
+        co_await socket.async_read_some(asio::buffer(buffer),
+                                        asio::redirect_error(asio::use_awaitable, error));
+        co_await asio::async_write(socket, asio::buffer(answer),
+                                   asio::redirect_error(asio::use_awaitable, error));
+        while (!error)
+            co_await socket.async_read_some(asio::buffer(buffer),
+                                            asio::redirect_error(asio::use_awaitable, error));
+    }
+}
+
+// The connection is closed while the body is still being written.
+BOOST_DATA_TEST_CASE(early_refusal_ends_the_run_while_its_long_body_is_written,
+                     data::make({70, 200, 500, 4000}), kilobytes)
+{
+    Fixture fixture([](int, const ScriptedUpstream::Request &) { return std::string("unused"); });
+    tcp::acceptor acceptor(fixture.context_, {asio::ip::make_address("127.0.0.1"), 0});
+    asio::co_spawn(fixture.context_, answerEarly(acceptor, refused("first")), asio::detached);
+    StartRun command = fixture.makeRun("first", false);
+    command.upstream_.agentPort_ = acceptor.local_endpoint().port();
+    BOOST_REQUIRE(fixture.run(command, std::string(1000u * kilobytes, 'b')) == 1u);
+    BOOST_TEST((fixture.lastEnd().end_ == RunEnd::NotExecuted), fixture.lastEnd().detail_);
+}
+
 } // namespace
