Callers: a failed handler's request is refused only if its answer hasn't begun

No behaviour changes: DirectExchange::refuse() does nothing then. The condition stands where the decision is made, so that it holds whatever refuse() does with an answer that has begun (row "answered before the failure" of request_whose_handler_fails_is_answered, passing before and after).

--- a/packages/server/src/direct_server.cpp
+++ b/packages/server/src/direct_server.cpp
@@ -462,7 +462,8 @@
         writeLog(LogLevel::Error, std::string("request not given up reason=") + error.what());
         status = statusBadGateway; // it may be sent to an upstream yet
     }
-    exchange->refuse(status, nanoseconds(0), "internal_error");
+    if (!exchange->headSent())
+        exchange->refuse(status, nanoseconds(0), "internal_error");
 }
 
 asio::awaitable<bool> DirectServer::serveOne(const std::shared_ptr<CallerConnection> &connection)
