A silent run is not given up for one that cannot end before the exit

Found when the handling of silence and that of a stop were merged: a sound upstream that was silent while the entry stops was stopped for another run, which was then refused, so the caller was cut. decision:silent_run_is_not_stopped_if_another_one_cannot_end_before_the_exit fails without the check. A run that an exception ends after its response has begun has cut the response, so it is not reported as resumable either.

--- a/packages/decision/src/direct/direct_runs.cpp
+++ b/packages/decision/src/direct/direct_runs.cpp
@@ -324,7 +324,8 @@
         return;
     const bool useful = isRepeatable(*request) && event.resumable_
         && request->possibleExecutions_ + 1 < request->route_->maxAttempts_
-        && request->deadlineAt_ - now > minResumeTime && hasUntriedUpstream(state, *request);
+        && request->deadlineAt_ - now > minResumeTime && isRunnableBeforeExit(state, now, *request)
+        && hasUntriedUpstream(state, *request);
     const bool moved = useful && tryUseRetry(state, now, *request);
     addDecisionLine(effects, *request, "silent",
                     "upstream=" + request->upstream_ + " last_event=" + event.lastEventId_
--- a/packages/decision/tests/unit-direct.cpp
+++ b/packages/decision/tests/unit-direct.cpp
@@ -257,6 +257,17 @@
     BOOST_TEST(run[0].lastEventId_ == "4");
 }
 
+BOOST_AUTO_TEST_CASE(silent_run_is_not_stopped_if_another_one_cannot_end_before_the_exit)
+{
+    DirectFixture fixture;
+    fixture.beginStream("resumable");
+    fixture.handle(DirectStop{fixture.now_ + milliseconds(1000)});
+    const auto effects = fixture.handle(RunSilent{1, 1, "4"});
+    BOOST_TEST(effectsOf<StopRun>(effects).empty());
+    BOOST_TEST(effectsOf<AbortCall>(effects).empty());
+    BOOST_TEST(fixture.state_.requests_.size() == 1u);
+}
+
 BOOST_AUTO_TEST_CASE(broken_stream_without_an_event_to_continue_after_is_aborted)
 {
     DirectFixture fixture;
--- a/packages/server/src/run_client.cpp
+++ b/packages/server/src/run_client.cpp
@@ -163,6 +163,7 @@
         return end;
     // Which events were sent is not known exactly, so the answer can't be continued.
     run.exchange_->abort();
+    end.resumable_ = false;
     end.end_ = RunEnd::Broken;
     return end;
 }
