Refuse less while a stopping entry is still in the load balancer's rotation

Four deviations above the mean were required from the first moment on. Until the load balancer must have noticed the stop, two deviations are required now.

--- a/packages/decision/include/chervilspring/detail/direct/direct.hpp
+++ b/packages/decision/include/chervilspring/detail/direct/direct.hpp
@@ -237,6 +237,7 @@
     std::map<std::string, Instant> schedulersLostAt_; ///< time of connection loss by scheduler
     /// When unfinished requests are ended before the process exits; the maximum: it isn't stopping.
     Instant exitAt_ = Instant::max();
+    Instant stopRequestedAt_{}; ///< when the process was told to stop, if exitAt_ is set
     Instant nextExitCheckAt_ = Instant::max(); ///< when endUnfinishable() is due
     std::map<std::string, RouteTimes> routeTimes_; ///< by route name, of requests that were served
     std::mt19937_64 random_; ///< for choices among pools and equal upstreams
--- a/packages/decision/src/direct/direct_stop.cpp
+++ b/packages/decision/src/direct/direct_stop.cpp
@@ -9,10 +9,13 @@
 namespace {
 
 constexpr nanoseconds exitCheckInterval = milliseconds(50);
-// Deviations above the mean service time that are allowed for. At arrival a refusal costs the
-// caller only a new connection to another entry; later it also costs the results of the stages.
-constexpr int arrivalDeviations = 4;
-constexpr int runDeviations = 2;
+// Deviations above the mean service time that are allowed for. Until the load balancer has noticed
+// the stop, a caller that is refused may meet this entry or another stopping one again; afterwards
+// a refusal costs it only a new connection.
+constexpr int usualDeviations = 2;
+constexpr int strictDeviations = 4;
+// The load balancer removes an entry after two failed readiness probes, one each second.
+constexpr nanoseconds loadBalancerDelay = seconds(2);
 
 bool isStopping(const DirectState &state)
 {
@@ -41,6 +44,7 @@
 void onStop(DirectState &state, Instant now, const DirectStop &event, DirectEffects &effects)
 {
     state.exitAt_ = event.exitAt_;
+    state.stopRequestedAt_ = now;
     state.nextExitCheckAt_ = now;
     effects.push_back(
         DecisionLine{"decision=stop unfinished=" + std::to_string(state.requests_.size())
@@ -50,15 +54,16 @@
 bool isServableBeforeExit(const DirectState &state, Instant now, const RouteSpec &route,
                           Instant deadlineAt)
 {
+    const bool noticed = now - state.stopRequestedAt_ >= loadBalancerDelay;
     return !isStopping(state)
-        || endsBeforeExit(state, now, timesOf(state, route.name_).total_, arrivalDeviations,
-                          deadlineAt);
+        || endsBeforeExit(state, now, timesOf(state, route.name_).total_,
+                          noticed ? strictDeviations : usualDeviations, deadlineAt);
 }
 
 bool isRunnableBeforeExit(const DirectState &state, Instant now, const DirectRequest &request)
 {
     return !isStopping(state)
-        || endsBeforeExit(state, now, timesOf(state, request.route_->name_).run_, runDeviations,
+        || endsBeforeExit(state, now, timesOf(state, request.route_->name_).run_, usualDeviations,
                           request.deadlineAt_);
 }
 
--- a/packages/decision/tests/unit-direct.cpp
+++ b/packages/decision/tests/unit-direct.cpp
@@ -518,6 +518,7 @@
     const char *route_;
     milliseconds callerTimeout_;
     milliseconds servedIn_; ///< service time of an earlier request; 0: there was none
+    milliseconds sinceStop_;
     milliseconds untilExit_;
     bool accepted_;
 };
@@ -525,20 +526,27 @@
 std::ostream &operator<<(std::ostream &stream, const StopRow &row)
 {
     return stream << row.route_ << " timeout " << row.callerTimeout_.count() << " ms, served in "
-                  << row.servedIn_.count() << " ms, exit in " << row.untilExit_.count() << " ms";
+                  << row.servedIn_.count() << " ms, stopped " << row.sinceStop_.count()
+                  << " ms ago, exit in " << row.untilExit_.count() << " ms";
 }
 
-// Routes time out after 2 s. After one measurement the deviation is half of the mean, so that three
-// times the measured time is required at arrival and two times for a run.
+// Routes time out after 2 s. After one measurement the deviation is half of the mean, so that two
+// times the measured time is required, and three times once the load balancer has noticed the stop.
 const StopRow stopTable[] = {
-    {"unsafe", milliseconds(1500), milliseconds(0), milliseconds(1600), true},
-    {"unsafe", milliseconds(1500), milliseconds(0), milliseconds(1400), false},
-    {"unsafe", milliseconds(1500), milliseconds(400), milliseconds(1300), true},
-    {"unsafe", milliseconds(1500), milliseconds(500), milliseconds(1400), false},
-    {"stream", milliseconds(9000), milliseconds(0), milliseconds(2100), true},
-    {"stream", milliseconds(9000), milliseconds(0), milliseconds(1900), false},
-    {"stream", milliseconds(9000), milliseconds(600), milliseconds(1900), true},
-    {"stream", milliseconds(9000), milliseconds(700), milliseconds(1900), false},
+    {"unsafe", milliseconds(1500), milliseconds(0), milliseconds(0), milliseconds(1600), true},
+    {"unsafe", milliseconds(1500), milliseconds(0), milliseconds(0), milliseconds(1400), false},
+    {"unsafe", milliseconds(1500), milliseconds(500), milliseconds(0), milliseconds(1100), true},
+    {"unsafe", milliseconds(1500), milliseconds(500), milliseconds(0), milliseconds(900), false},
+    {"unsafe", milliseconds(1500), milliseconds(400), milliseconds(2000), milliseconds(1300), true},
+    {"unsafe", milliseconds(1500), milliseconds(500), milliseconds(2000), milliseconds(1400),
+     false},
+    {"stream", milliseconds(9000), milliseconds(0), milliseconds(0), milliseconds(2100), true},
+    {"stream", milliseconds(9000), milliseconds(0), milliseconds(0), milliseconds(1900), false},
+    {"stream", milliseconds(9000), milliseconds(900), milliseconds(0), milliseconds(1900), true},
+    {"stream", milliseconds(9000), milliseconds(1000), milliseconds(0), milliseconds(1900), false},
+    {"stream", milliseconds(9000), milliseconds(600), milliseconds(2000), milliseconds(1900), true},
+    {"stream", milliseconds(9000), milliseconds(700), milliseconds(2000), milliseconds(1900),
+     false},
 };
 
 // Serves one request of a route in a given time, so that its service time is known.
@@ -568,7 +576,8 @@
     DirectFixture fixture;
     if (row.servedIn_ > milliseconds(0))
         serveOne(fixture, row.route_, row.servedIn_);
-    fixture.handle(DirectStop{fixture.now_ + row.untilExit_});
+    fixture.handle(DirectStop{fixture.now_ + row.sinceStop_ + row.untilExit_});
+    fixture.now_ += row.sinceStop_;
     const auto effects = fixture.call(row.route_, 2, row.callerTimeout_);
     BOOST_TEST(fixture.state_.requests_.contains(2) == row.accepted_);
     const auto refusals = effectsOf<RefuseCall>(effects);
