A caller that leaves without an answer closes the idle connections again

Callers could wait in vain, one after the other, on connections to an upstream that had lost their state on the way. When a run on a kept connection is stopped before an answer, the other idle connections to its upstream are closed; that was skipped since an exchange that has ended counts as one whose head was sent. Whether the run itself has an answer is asked now.

server:caller_that_leaves_without_an_answer_closes_the_idle_connections failed before: "check fixture.upstream_.connections() == 3 has failed [2 != 3]".

--- a/packages/server/src/run_client.cpp
+++ b/packages/server/src/run_client.cpp
@@ -111,7 +111,7 @@
     // A reused connection without an answer may have lost its state on the way: see
     // IdleConnections::closeAll().
     const bool noAnswerYet =
-        run->connectionReused_ && run->answerHead_.empty() && !run->exchange_->headSent();
+        run->connectionReused_ && run->answerHead_.empty() && !run->eventSplitter_;
     if (noAnswerYet)
         idle_.closeAll(connectionKey(run->command_.upstream_));
     if (run->connection_)
--- a/packages/server/tests/unit-run_client.cpp
+++ b/packages/server/tests/unit-run_client.cpp
@@ -90,17 +90,24 @@
         return command;
     }
 
-    /// Runs a request and returns how often its end was reported; ended_ holds the last end.
-    std::size_t run(StartRun command, std::string body = {})
+    /// Starts the run of a request and returns the exchange with its caller.
+    DirectExchangePointer start(StartRun command, std::string body = {})
     {
-        const std::size_t endsBefore = ends_.size();
         HttpRequest request(http::verb::post, "/", 11);
         request.set(idHeader, command.id_);
         request.body() = std::move(body);
         auto caller = std::make_shared<CallerConnection>(tcp::socket(context_), context_);
-        client_.start(std::move(command),
-                      std::make_shared<DirectExchange>(lastToken_, std::move(caller),
-                                                       std::move(request), true));
+        auto exchange = std::make_shared<DirectExchange>(command.token_, std::move(caller),
+                                                         std::move(request), true);
+        client_.start(std::move(command), exchange);
+        return exchange;
+    }
+
+    /// Runs a request and returns how often its end was reported; ended_ holds the last end.
+    std::size_t run(StartRun command, std::string body = {})
+    {
+        const std::size_t endsBefore = ends_.size();
+        start(std::move(command), std::move(body));
         const auto until = std::chrono::steady_clock::now() + runTimeout;
         while (ends_.size() == endsBefore && std::chrono::steady_clock::now() < until)
             context_.run_one_for(milliseconds(50));
@@ -125,6 +132,26 @@
     return end.end_ == RunEnd::Failed || end.end_ == RunEnd::TimedOut || end.end_ == RunEnd::Broken;
 }
 
+BOOST_AUTO_TEST_CASE(caller_that_leaves_without_an_answer_closes_the_idle_connections)
+{
+    Fixture fixture([](int, const ScriptedUpstream::Request &request) {
+        const std::string id(request[idHeader]);
+        return id == "unanswered" ? std::string("HTTP/1.1 ") : served(id);
+    });
+    fixture.start(fixture.makeRun("first", true));
+    fixture.start(fixture.makeRun("second", true));
+    fixture.settle();
+    BOOST_REQUIRE(fixture.ends_.size() == 2u);
+    const StartRun unanswered = fixture.makeRun("unanswered", true);
+    const DirectExchangePointer exchange = fixture.start(unanswered);
+    fixture.settle();
+    BOOST_REQUIRE(fixture.upstream_.connections() == 2);
+    exchange->onCallerGone();
+    fixture.client_.stop(unanswered.token_, unanswered.attempt_);
+    BOOST_TEST(fixture.run(fixture.makeRun("last", true)) == 1u);
+    BOOST_TEST(fixture.upstream_.connections() == 3);
+}
+
 struct ExtraAnswerRow
 {
     const char *description_;
