A stopping entry delivers an upstream's failure that it can't retry

Callers got a 502 of the entry instead of the complete 5xx of the upstream, and a retry was taken from the budget: the response was dropped for a retry that could not end before the exit. decision:failure_of_an_upstream_is_delivered_if_no_retry_can_end_before_the_exit failed before: no DeliverHeld, one RefuseCall.

--- a/packages/decision/src/direct/direct_runs.cpp
+++ b/packages/decision/src/direct/direct_runs.cpp
@@ -188,7 +188,7 @@
     const bool failed = event.status_ >= firstServerError;
     const bool retry = failed && isRepeatable(request)
         && request.possibleExecutions_ < request.route_->maxAttempts_
-        && tryUseRetry(state, now, request);
+        && isRunnableBeforeExit(state, now, request) && tryUseRetry(state, now, request);
     if (retry) {
         addDecisionLine(effects, request, "repeat",
                         "upstream=" + request.upstream_
--- a/packages/decision/tests/unit-direct.cpp
+++ b/packages/decision/tests/unit-direct.cpp
@@ -661,6 +661,16 @@
     BOOST_TEST((refusals.empty() ? 0u : refusals[0].status_) == row.refusalStatus_);
 }
 
+BOOST_AUTO_TEST_CASE(failure_of_an_upstream_is_delivered_if_no_retry_can_end_before_the_exit)
+{
+    DirectFixture fixture;
+    fixture.call("safe", 1, seconds(9));
+    fixture.handle(DirectStop{fixture.now_ + milliseconds(100)});
+    const auto effects = fixture.handle(RunEnded{1, 1, RunEnd::Held, 500, "", ""});
+    BOOST_TEST(effectsOf<DeliverHeld>(effects).size() == 1u);
+    BOOST_TEST(effectsOf<RefuseCall>(effects).empty());
+}
+
 BOOST_AUTO_TEST_CASE(exit_answers_all_unfinished_requests)
 {
     DirectFixture fixture;
