A silent run is not given up for upstreams that have just failed

A resumable stream of a sound but silent upstream could be stopped although all other upstreams were in the pause after a failure, so that the next run chose the same one again. decision:silent_run_is_not_stopped_if_the_other_upstreams_have_just_failed failed before: one StopRun.

--- a/packages/decision/src/direct/direct_runs.cpp
+++ b/packages/decision/src/direct/direct_runs.cpp
@@ -128,8 +128,9 @@
         request.lastEventId_ = lastEventId;
 }
 
-// Whether the pool of a request has an upstream that the request has not been sent to.
-bool hasUntriedUpstream(const DirectState &state, const DirectRequest &request)
+// Whether the pool of a request has an upstream that the request has not been sent to and that
+// isn't in the pause after a failure.
+bool hasUntriedUpstream(const DirectState &state, Instant now, const DirectRequest &request)
 {
     const auto upstreams = state.table_->upstreamsByPool_.find(request.pool_);
     if (upstreams == state.table_->upstreamsByPool_.end())
@@ -137,7 +138,10 @@
     const auto &tried = request.avoidedUpstreams_;
     return std::any_of(
         upstreams->second.begin(), upstreams->second.end(), [&](const Upstream *upstream) {
-            return upstream->name_ != request.upstream_
+            const auto stats = state.upstreamStats_.find(upstream->name_);
+            const bool paused =
+                stats != state.upstreamStats_.end() && isAvoided(stats->second.avoidance_, now);
+            return !paused && upstream->name_ != request.upstream_
                 && std::find(tried.begin(), tried.end(), upstream->name_) == tried.end();
         });
 }
@@ -325,7 +329,7 @@
     const bool useful = isRepeatable(*request) && event.resumable_
         && request->possibleExecutions_ + 1 < request->route_->maxAttempts_
         && request->deadlineAt_ - now > minResumeTime && isRunnableBeforeExit(state, now, *request)
-        && hasUntriedUpstream(state, *request);
+        && hasUntriedUpstream(state, now, *request);
     const bool moved = useful && tryUseRetry(state, now, *request);
     addDecisionLine(effects, *request, "silent",
                     "upstream=" + request->upstream_ + " last_event=" + event.lastEventId_
--- a/packages/decision/tests/unit-direct.cpp
+++ b/packages/decision/tests/unit-direct.cpp
@@ -257,6 +257,17 @@
     BOOST_TEST(run[0].lastEventId_ == "4");
 }
 
+BOOST_AUTO_TEST_CASE(silent_run_is_not_stopped_if_the_other_upstreams_have_just_failed)
+{
+    DirectFixture fixture;
+    fixture.beginStream("resumable");
+    for (const char *upstream : {"engine-2", "engine-3"}) {
+        recordRunStart(fixture.state_.upstreamStats_, upstream);
+        recordRunEnd(fixture.state_.upstreamStats_, upstream, milliseconds(10), true, fixture.now_);
+    }
+    BOOST_TEST(effectsOf<StopRun>(fixture.handle(RunSilent{1, 1, "4"})).empty());
+}
+
 BOOST_AUTO_TEST_CASE(silent_run_is_not_stopped_if_another_one_cannot_end_before_the_exit)
 {
     DirectFixture fixture;
