Runs and stops after an exception or a late answer leave nothing behind

Read in review, none of them seen: the silence timer of a run that an exception ended went on; a stopped run that an exception ended could cut its successor's answer; probe() could report within the call for an address that is no IP address; the control thread woke without pause between the end of a stop and the last answers.

--- a/packages/decision/src/control/control.cpp
+++ b/packages/decision/src/control/control.cpp
@@ -449,7 +449,7 @@
     Instant wake = nextWake(state.consensus_);
     if (state.consensus_.role_ == MemberRole::Leader)
         wake = std::min(wake, state.nextSweep_);
-    if (state.stopDeadline_ != Instant{})
+    if (state.stopDeadline_ != Instant{} && !state.stopped_)
         wake = std::min(wake, state.stopDeadline_);
     return wake;
 }
--- a/packages/server/src/run_client.cpp
+++ b/packages/server/src/run_client.cpp
@@ -137,6 +137,7 @@
 asio::awaitable<void> RunClient::tryConnect(Upstream upstream,
                                             std::function<void(bool reachable)> done)
 {
+    co_await asio::post(context_, use_awaitable); // the result is never reported within probe()
     beast::tcp_stream stream(context_);
     stream.expires_after(connectTimeout);
     boost::system::error_code error;
@@ -159,7 +160,7 @@
     end.attempt_ = run.command_.attempt_;
     end.end_ = run.requestSent_ ? RunEnd::Failed : RunEnd::NotSent;
     end.detail_ = reason;
-    if (!run.exchange_->headSent())
+    if (run.stopped_ || !run.exchange_->headSent())
         return end;
     // Which events were sent is not known exactly, so the answer can't be continued.
     run.exchange_->abort();
@@ -177,6 +178,8 @@
         end = co_await runAttempt(run);
     } catch (const std::exception &error) {
         logException("run", error);
+        run->reading_ = false;
+        run->silenceTimer_.cancel();
         end = failedRun(*run, error.what());
     }
     runs_.erase({run->command_.token_, run->command_.attempt_});
