--- a/packages/server/include/chervilspring/detail/net/direct_server.hpp
+++ b/packages/server/include/chervilspring/detail/net/direct_server.hpp
@@ -52,7 +52,7 @@
     std::uint64_t token() const { return token_; }
     const HttpRequest &request() const { return request_; }
 
-    /// @brief Whether the head of an answer was sent or is being sent.
+    /// @brief Whether no other answer can be sent: one has begun, or the exchange has ended.
     bool headSent() const { return phase_ != Phase::Waiting; }
 
     /// @brief Whether the exchange is over: answered, aborted or abandoned by the caller.
