Requests carry the time at which their caller gives up

Cause: callers of streams leave after a gap without events (the longest of 2 s, 4 objectives, 8 allowed pauses), long before a deadline of 20 s. Change: PlanRequest has untilStartDeadline, from the entry to scheduler and stage calls; a moved stream gets it from its last event. The entry refuses a planned stream without an engine 100 ms before its caller leaves.

--- a/packages/core/include/chervilspring/messages.hpp
+++ b/packages/core/include/chervilspring/messages.hpp
@@ -594,11 +594,13 @@
     std::vector<std::string> avoid_; ///< names of upstreams that refused or failed the request
     bool remake_ = false; ///< earlier results are lost and have to be produced again
     std::vector<PieceResult> results_; ///< results that were produced for an earlier scheduler
+    /// Time left until the caller gives up unless it gets an event; 0: it waits until the deadline.
+    nanoseconds untilStartDeadline_{0};
 };
 BOOST_DESCRIBE_STRUCT(PlanRequest, (),
                       (id_, route_, pool_, account_, priority_, untilObjective_, untilDeadline_,
                        pieceCounts_, pieceKey_, promptTokens_, outputTokens_, parts_, round_,
-                       avoid_, remake_, results_))
+                       avoid_, remake_, results_, untilStartDeadline_))
 
 /// @brief Reports finished pieces of a request, so that another scheduler can continue from them.
 struct PlanProgress
--- a/packages/decision/include/chervilspring/detail/direct/direct.hpp
+++ b/packages/decision/include/chervilspring/detail/direct/direct.hpp
@@ -5,6 +5,7 @@
 /// if the first one reported that it did not execute it, or if nothing was sent to the first.
 #pragma once
 
+#include "chervilspring/detail/direct/caller_patience.hpp"
 #include "chervilspring/detail/direct/retry_budget.hpp"
 #include "chervilspring/detail/direct/route_table.hpp"
 #include "chervilspring/detail/direct/upstream_choice.hpp"
@@ -78,6 +79,7 @@
     std::uint32_t attempt_ = 0; ///< number of the run
     std::string lastEventId_; ///< as in RunEnded
     bool resumable_ = true; ///< as in RunEnded
+    nanoseconds silence_{0}; ///< time since the last bytes arrived
 };
 
 /// @brief Event: result of probing whether an upstream accepts connections after it broke one.
@@ -205,6 +207,9 @@
     bool responseStarted_ = false; ///< part of the response was sent or is being sent
     Instant arrivedAt_{};
     Instant deadlineAt_{}; ///< the caller's deadline or the route's timeout, whichever is earlier
+    /// When the caller gives up unless it gets an event, see callerPatience(). Never after
+    /// deadlineAt_. Set at the arrival and whenever a stream that has begun is planned again.
+    Instant startDeadlineAt_{};
     std::uint32_t attempt_ = 0; ///< number of the latest run; 0: none
     bool runStarted_ = false; ///< the first event of the latest run has arrived
     std::uint32_t possibleExecutions_ = 0; ///< runs that an upstream may have executed
@@ -240,6 +245,8 @@
     std::map<std::uint64_t, DirectRequest> requests_; ///< by token
     std::map<std::string, std::uint64_t> tokensById_; ///< tokens by id of the client attempt
     std::set<std::pair<Instant, std::uint64_t>> deadlines_; ///< deadline and token of each request
+    /// Time and token of each request that is refused then if no upstream has been chosen for it.
+    std::set<std::pair<Instant, std::uint64_t>> startDeadlines_;
     /// Limited number of the newest crashes, oldest first. A new leader is told of them.
     std::deque<ReportedCrash> reportedCrashes_;
     Instant replanAt_ = Instant::max(); ///< when requests without a scheduler are planned again
--- a/packages/decision/include/chervilspring/detail/direct/direct_steps.hpp
+++ b/packages/decision/include/chervilspring/detail/direct/direct_steps.hpp
@@ -40,6 +40,13 @@
 /// @brief Returns whether a scheduler chooses the upstream of a request.
 bool isPlanned(const DirectRequest &request);
 
+/// @brief Returns when the caller of a request gives up unless the response has begun.
+Instant firstStartDeadline(const DirectRequest &request);
+
+/// @brief Returns when a planned request is refused if no upstream has been chosen for it, while
+/// its caller still listens.
+Instant unstartedRefusalAt(const DirectRequest &request);
+
 /// @brief Appends a decision line for a request to the effects.
 /// @param decision value of the key "decision"
 /// @param rest further key=value pairs
--- a/packages/decision/include/chervilspring/detail/scheduler/piece_plan.hpp
+++ b/packages/decision/include/chervilspring/detail/scheduler/piece_plan.hpp
@@ -66,6 +66,7 @@
     Instant objectiveAt_{}; ///< time by which the first token is due
     nanoseconds timeToFirstToken_{0}; ///< expected time from the grant to the first token
     Instant deadlineAt_{};
+    Instant startDeadlineAt_{}; ///< when the caller gives up unless it got an event until then
     std::string targetDataCenter_; ///< data centre of the expected engine; empty if unknown
     std::string engine_; ///< name of the engine that runs the request; empty before the grant
     bool promoted_ = false; ///< ranks above all priorities because its own was underserved
@@ -81,7 +82,7 @@
     std::string request_; ///< id of the client attempt
     std::uint32_t stage_ = 0; ///< index of the stage within the route
     std::uint32_t piece_ = 0; ///< index of the piece within the stage
-    nanoseconds remaining_{0}; ///< time until the request's deadline
+    nanoseconds remaining_{0}; ///< time until the caller of the request gives up
     std::string key_; ///< PlanRequest::pieceKey_; only set for stages without predecessors
     std::vector<std::string> inputs_; ///< result handles of all pieces of the predecessor stages
     bool hasInputs_ = false; ///< the stage has predecessors
@@ -155,7 +156,7 @@
     std::vector<std::uint32_t> pieces_; ///< indices of the waiting pieces
     bool missesObjective_ = false; ///< the request can no longer meet its objective
     std::uint32_t priorityRank_ = 0; ///< see priorityRank()
-    Instant latestStart_{}; ///< latest start that meets the objective; if missed, the deadline
+    Instant latestStart_{}; ///< latest start that meets the objective; if missed, start deadline
     Instant effectiveLatestStart_{}; ///< see penalizeTransfers()
     std::uint64_t resultBytes_ = 0; ///< size of the result of one piece
     std::map<std::string, std::uint64_t> transferBytes_; ///< input and output bytes by data centre
@@ -207,6 +208,10 @@
 /// @brief Returns the time by which the stages must be done for the first token to be on time.
 Instant stagesDueAt(const Job &job);
 
+/// @brief Returns the time by which the stages must be done for the first token to reach the caller
+/// before it gives up.
+Instant latestStagesEnd(const Job &job);
+
 /// @brief Returns whether a request can meet its objective if it never has to queue.
 bool canMeetObjective(const Job &job, Instant now);
 
--- a/packages/decision/src/direct/direct.cpp
+++ b/packages/decision/src/direct/direct.cpp
@@ -13,6 +13,7 @@
 constexpr std::uint32_t crashLimit = 3; // upstream crashes after which a request is refused
 constexpr nanoseconds suspectRetryAfter = seconds(5); // the cause may be fixed by then
 constexpr nanoseconds unconfiguredRetryAfter = milliseconds(500); // without a configuration
+constexpr nanoseconds unstartedRetryAfter = milliseconds(100); // no engine was chosen in time
 // An account's priority outranks a route's, as long as route priorities are less than this factor.
 constexpr std::uint32_t accountPriorityFactor = 100;
 
@@ -79,6 +80,9 @@
     request.arrivedAt_ = now;
     request.deadlineAt_ = deadlineAt;
     state.deadlines_.insert({request.deadlineAt_, call.token_});
+    request.startDeadlineAt_ = firstStartDeadline(request);
+    if (isPlanned(request))
+        state.startDeadlines_.insert({unstartedRefusalAt(request), call.token_});
     state.tokensById_[call.id_] = call.token_;
     if (isPlanned(request))
         requestPlan(state, now, request, false, effects);
@@ -95,6 +99,22 @@
     finishRequest(state, now, token, EndReason{"caller_gone"}, 0, effects);
 }
 
+// Refuses the requests in planning whose callers are about to give up.
+void refuseUnstarted(DirectState &state, Instant now, DirectEffects &effects)
+{
+    while (!state.startDeadlines_.empty() && state.startDeadlines_.begin()->first <= now) {
+        const std::uint64_t token = state.startDeadlines_.begin()->second;
+        state.startDeadlines_.erase(state.startDeadlines_.begin());
+        const auto found = state.requests_.find(token);
+        const bool waiting = found != state.requests_.end()
+            && found->second.phase_ == DirectPhase::Planning && !found->second.responseStarted_;
+        if (!waiting)
+            continue;
+        cancelWork(state, now, found->second, false, "start_deadline", effects);
+        failRequest(state, now, token, unstartedRetryAfter, EndReason{"start_deadline"}, effects);
+    }
+}
+
 // Ends the requests whose deadline has passed.
 void timeOutRequests(DirectState &state, Instant now, DirectEffects &effects)
 {
@@ -125,8 +145,12 @@
 
 Instant nextWake(const DirectState &state)
 {
-    const Instant wake = std::min(state.replanAt_, state.nextExitCheckAt_);
-    return state.deadlines_.empty() ? wake : std::min(wake, state.deadlines_.begin()->first);
+    Instant wake = std::min(state.replanAt_, state.nextExitCheckAt_);
+    for (const auto *times : {&state.deadlines_, &state.startDeadlines_}) {
+        if (!times->empty())
+            wake = std::min(wake, times->begin()->first);
+    }
+    return wake;
 }
 
 void reduce(DirectState &state, Instant now, const DirectEvent &event, DirectEffects &effects)
@@ -146,6 +170,7 @@
                },
                event);
     timeOutRequests(state, now, effects);
+    refuseUnstarted(state, now, effects);
     endUnfinishable(state, now, effects);
     replanUnscheduled(state, now, effects);
 }
--- a/packages/decision/src/direct/direct_common.cpp
+++ b/packages/decision/src/direct/direct_common.cpp
@@ -4,6 +4,25 @@
 
 namespace chervilspring::directing {
 
+namespace {
+
+// Shortest time from the choice of a model engine to the arrival of the first event at the caller.
+constexpr nanoseconds minTimeToFirstEvent = milliseconds(100);
+
+} // namespace
+
+Instant firstStartDeadline(const DirectRequest &request)
+{
+    const std::optional<nanoseconds> patience = callerPatience(*request.route_);
+    return patience ? std::min(request.deadlineAt_, request.arrivedAt_ + *patience)
+                    : request.deadlineAt_;
+}
+
+Instant unstartedRefusalAt(const DirectRequest &request)
+{
+    return firstStartDeadline(request) - minTimeToFirstEvent;
+}
+
 bool isRepeatable(const DirectRequest &request)
 {
     const RouteSpec &route = *request.route_;
@@ -61,6 +80,7 @@
                         + " view=" + std::to_string(request.table_->view_->version_));
     effects.push_back(DirectEnded{token, reason.outcome_});
     state.deadlines_.erase({request.deadlineAt_, token});
+    state.startDeadlines_.erase({unstartedRefusalAt(request), token});
     state.tokensById_.erase(request.call_.id_);
     state.requests_.erase(found);
 }
--- a/packages/decision/src/direct/direct_planning.cpp
+++ b/packages/decision/src/direct/direct_planning.cpp
@@ -35,6 +35,8 @@
     plan.priority_ = request.priority_;
     plan.untilObjective_ = request.arrivedAt_ + request.route_->objective_ - now;
     plan.untilDeadline_ = std::min(request.deadlineAt_, state.exitAt_) - now;
+    // 0 would mean that there is no such time.
+    plan.untilStartDeadline_ = std::max(request.startDeadlineAt_ - now, nanoseconds(1));
     plan.pieceCounts_ = request.call_.pieceCounts_;
     plan.pieceKey_ = request.call_.pieceKey_;
     plan.promptTokens_ = request.call_.promptTokens_;
@@ -147,13 +149,14 @@
         state.replanAt_ = std::min(state.replanAt_, now + replanInterval);
         return;
     }
-    addDecisionLine(effects, request, "plan",
-                    "scheduler=" + scheduler + " round=" + std::to_string(request.planRound_)
-                        + " results=" + std::to_string(request.stageResults_.size())
-                        + " until_objective_ms="
-                        + millisecondsText(request.arrivedAt_ + request.route_->objective_ - now)
-                        + " until_end_ms=" + millisecondsText(request.deadlineAt_ - now)
-                        + untilExitText(state, now));
+    addDecisionLine(
+        effects, request, "plan",
+        "scheduler=" + scheduler + " round=" + std::to_string(request.planRound_)
+            + " results=" + std::to_string(request.stageResults_.size()) + " until_objective_ms="
+            + millisecondsText(request.arrivedAt_ + request.route_->objective_ - now)
+            + " until_end_ms=" + millisecondsText(request.deadlineAt_ - now)
+            + " until_start_deadline_ms=" + millisecondsText(request.startDeadlineAt_ - now)
+            + untilExitText(state, now));
     effects.push_back(SendToPeer{scheduler, makePlanRequest(state, request, now, resultsLost)});
 }
 
--- a/packages/decision/src/direct/direct_runs.cpp
+++ b/packages/decision/src/direct/direct_runs.cpp
@@ -114,6 +114,15 @@
         request.lastEventId_ = lastEventId;
 }
 
+// Records when the caller of a stream that has begun gives up unless it gets a further event.
+// lastEventAt is when it got the last one, at the latest.
+void updateStartDeadline(DirectRequest &request, Instant lastEventAt)
+{
+    const std::optional<nanoseconds> patience = callerPatience(*request.route_);
+    if (request.responseStarted_ && patience)
+        request.startDeadlineAt_ = std::min(request.deadlineAt_, lastEventAt + *patience);
+}
+
 // Whether the pool of a request has an upstream that the request has not been sent to and that
 // isn't in the pause after a failure.
 bool hasUntriedUpstream(const DirectState &state, Instant now, const DirectRequest &request)
@@ -137,6 +146,7 @@
                  DirectEffects &effects)
 {
     abandonRun(request, event.lastEventId_);
+    updateStartDeadline(request, now);
     addDecisionLine(effects, request, "run_failed",
                     "upstream=" + request.upstream_
                         + " took_ms=" + millisecondsText(now - request.runStartedAt_)
@@ -316,6 +326,7 @@
     effects.push_back(StopRun{event.token_, event.attempt_});
     recordRunEnd(state.upstreamStats_, request->upstream_, now - request->runStartedAt_, true, now);
     abandonRun(*request, event.lastEventId_);
+    updateStartDeadline(*request, now - event.silence_);
     retryRequest(state, now, event.token_, true, effects);
 }
 
--- a/packages/decision/src/scheduler/piece_plan.cpp
+++ b/packages/decision/src/scheduler/piece_plan.cpp
@@ -162,6 +162,11 @@
     return job.objectiveAt_ - job.timeToFirstToken_;
 }
 
+Instant latestStagesEnd(const Job &job)
+{
+    return job.startDeadlineAt_ - job.timeToFirstToken_;
+}
+
 bool canMeetObjective(const Job &job, Instant now)
 {
     return now + remainingTime(job) <= stagesDueAt(job);
@@ -215,7 +220,7 @@
             readyStage.missesObjective_ = now + work.criticalPathTime_ > stagesDueAt(job);
             readyStage.priorityRank_ = priorityRank(job);
             readyStage.latestStart_ =
-                (readyStage.missesObjective_ ? job.deadlineAt_ : stagesDueAt(job))
+                (readyStage.missesObjective_ ? latestStagesEnd(job) : stagesDueAt(job))
                 - work.criticalPathTime_;
             readyStage.resultBytes_ = work.resultBytes_;
             readyStage.transferBytes_ = inputBytes(job, stage);
--- a/packages/decision/src/scheduler/scheduler.cpp
+++ b/packages/decision/src/scheduler/scheduler.cpp
@@ -45,13 +45,21 @@
     return route && hasTooManyPieces(request.pieceCounts_, route->stages_.size());
 }
 
+void setTimes(Job &job, Instant now, const PlanRequest &request)
+{
+    job.objectiveAt_ = now + request.untilObjective_;
+    job.deadlineAt_ = now + request.untilDeadline_;
+    job.startDeadlineAt_ = job.deadlineAt_;
+    if (request.untilStartDeadline_ != nanoseconds(0))
+        job.startDeadlineAt_ = std::min(job.startDeadlineAt_, now + request.untilStartDeadline_);
+}
+
 Job makeJob(const SchedulerState &state, Instant now, const PlanRequest &request)
 {
     Job job;
     job.request_ = request;
     job.arrivedAt_ = now;
-    job.objectiveAt_ = now + request.untilObjective_;
-    job.deadlineAt_ = now + request.untilDeadline_;
+    setTimes(job, now, request);
     const RouteSpec *route = findByName(state.view_->fleet_.routes_, request.route_);
     if (!route || exceedsPieceLimit(state, request))
         return job;
@@ -78,8 +86,7 @@
     endEngineRun(state, now, job, failed);
     job.firstTokenSent_ = false;
     job.request_ = request;
-    job.objectiveAt_ = now + request.untilObjective_;
-    job.deadlineAt_ = now + request.untilDeadline_;
+    setTimes(job, now, request);
     const bool resultsLost = request.remake_
         || std::any_of(job.stages_.begin(), job.stages_.end(),
                        [](const StageWork &stage) { return stage.resultsFreed_; });
@@ -361,14 +368,14 @@
     }
 }
 
-// Refuses requests that can no longer meet their deadline. For the others, frees consumed results
-// and retries the grant.
+// Refuses requests whose callers will have given up before the first token. For the others, frees
+// consumed results and retries the grant.
 void sweepPlanned(SchedulerState &state, Instant now, SchedulerEffects &effects)
 {
     std::vector<JobId> expired;
     for (auto next = state.jobs_.begin(); next != state.jobs_.end();) {
         auto &[id, job] = *next++; // advance first: a grant removes the request from the map
-        if (now + remainingTime(job) > job.deadlineAt_) {
+        if (now + remainingTime(job) > latestStagesEnd(job)) {
             expired.push_back(id);
             continue;
         }
@@ -377,7 +384,10 @@
     }
     for (const JobId &id : expired)
         refuse(state, now, id, minRetryAfter, "deadline",
-               "waited_ms=" + millisecondsText(now - state.jobs_.at(id).arrivedAt_), effects);
+               "waited_ms=" + millisecondsText(now - state.jobs_.at(id).arrivedAt_)
+                   + " until_start_deadline_ms="
+                   + millisecondsText(state.jobs_.at(id).startDeadlineAt_ - now),
+               effects);
 }
 
 // Frees results that engines have fetched. Drops requests whose entry never reported their end.
--- a/packages/decision/src/scheduler/scheduler_admission.cpp
+++ b/packages/decision/src/scheduler/scheduler_admission.cpp
@@ -102,7 +102,7 @@
         known == state.timesToFirstToken_.end() ? nanoseconds(0) : meanTime(known->second);
     prediction.unloadedTime_ = remainingTime(job) + prediction.timeToFirstToken_;
     const nanoseconds predicted = prediction.stageTime_ + prediction.timeToFirstToken_;
-    const nanoseconds untilDeadline = job.deadlineAt_ - now;
+    const nanoseconds untilDeadline = job.startDeadlineAt_ - now;
     const bool lateByQueueing = now + predicted > job.objectiveAt_
         && predicted - prediction.unloadedTime_ > toleratedQueueTime;
     const bool lateOnArrival =
@@ -159,6 +159,7 @@
            "predicted_ms=" + millisecondsText(predicted)
                + " alone_ms=" + millisecondsText(prediction.unloadedTime_)
                + " engine_ms=" + millisecondsText(prediction.timeToFirstToken_)
+               + " until_start_deadline_ms=" + millisecondsText(job.startDeadlineAt_ - now)
                + " waits=" + queueTimesText(prediction.outlooks_),
            effects);
     return true;
--- a/packages/decision/src/scheduler/scheduler_calls.cpp
+++ b/packages/decision/src/scheduler/scheduler_calls.cpp
@@ -47,7 +47,7 @@
     item.request_ = id.job_.request_;
     item.stage_ = id.stage_;
     item.piece_ = id.piece_;
-    item.remaining_ = job.deadlineAt_ - now;
+    item.remaining_ = job.startDeadlineAt_ - now;
     item.hasInputs_ = !job.stages_[id.stage_].predecessors_.empty();
     if (item.hasInputs_)
         item.inputs_ = inputHandles(job, id.stage_);
--- a/packages/decision/tests/stage_model.hpp
+++ b/packages/decision/tests/stage_model.hpp
@@ -21,6 +21,8 @@
     std::uint64_t resultStorageBytes_ = 100'000'000; ///< storage of each stage upstream
     milliseconds objective_{1500}; ///< time from a request's arrival to its objective
     milliseconds deadline_{6000}; ///< time from a request's arrival to its deadline
+    /// Callers leave after this time unless their request was granted or refused; 0: they don't.
+    milliseconds patience_{0};
     std::uint64_t seed_ = 1; ///< seed of the arrivals and the numbers of pieces
 };
 
@@ -31,7 +33,8 @@
     int onTime_ = 0; ///< granted within the objective
     int late_ = 0; ///< granted after the objective
     int refused_ = 0;
-    int unanswered_ = 0; ///< neither granted nor refused
+    int abandoned_ = 0; ///< the caller left before the request was granted or refused
+    int unanswered_ = 0; ///< neither granted nor refused nor abandoned
     nanoseconds longestRefusal_{0}; ///< longest time from arrival to refusal
 };
 
@@ -109,6 +112,7 @@
         request.priority_ = priority;
         request.untilObjective_ = settings_.objective_;
         request.untilDeadline_ = settings_.deadline_;
+        request.untilStartDeadline_ = settings_.patience_;
         request.pieceCounts_ = {firstPieces, secondPieces};
         request.pieceKey_ = "k";
         request.parts_ = parts_;
@@ -142,6 +146,7 @@
         while (now_ < end) {
             now_ += milliseconds(5);
             finishCalls();
+            leaveImpatient();
             for (int i = 0; i < settings_.schedulers_; ++i) {
                 if (nextWake(states_[static_cast<std::size_t>(i)]) <= now_)
                     handle(i, Wake{});
@@ -192,6 +197,8 @@
                 ++result.late_;
             else if (refused != refused_.end())
                 ++result.refused_;
+            else if (abandoned_.contains(id))
+                ++result.abandoned_;
             else
                 ++result.unanswered_;
             if (refused != refused_.end())
@@ -320,6 +327,22 @@
         }
     }
 
+    // Callers whose patience has run out leave; their entry tells the scheduler.
+    void leaveImpatient()
+    {
+        if (settings_.patience_ == milliseconds(0))
+            return;
+        for (const auto &[id, at] : arrived_) {
+            const bool waiting =
+                !granted_.contains(id) && !refused_.contains(id) && !abandoned_.contains(id);
+            if (!waiting || now_ - at < settings_.patience_)
+                continue;
+            abandoned_.insert(id);
+            for (int i = 0; i < settings_.schedulers_; ++i)
+                handle(i, PeerMessage{"entry", PlanEnd{id, 1, false, "caller_gone"}});
+        }
+    }
+
     void finishCalls()
     {
         std::vector<RunningCall> endedCalls;
@@ -355,6 +378,7 @@
     std::map<std::string, Instant> busyUntil_; // end of the last queued call by upstream name
     std::map<std::string, Instant> arrived_; // time of the submission by request id
     std::set<std::string> crashed_; // names of the upstreams
+    std::set<std::string> abandoned_; // ids of the requests whose callers have left
     int submitted_ = 0; // number of submitted requests
 };
 
--- a/packages/decision/tests/unit-direct.cpp
+++ b/packages/decision/tests/unit-direct.cpp
@@ -12,7 +12,7 @@
 namespace data = boost::unit_test::data;
 
 // Returns a view with an ordinary pool, an engine pool and a route of each kind.
-ViewPointer testView(std::uint32_t maxAttempts = 2)
+ViewPointer testView(std::uint32_t maxAttempts = 2, milliseconds timeout = milliseconds(2000))
 {
     auto view = std::make_shared<View>();
     view->version_ = 7;
@@ -32,7 +32,7 @@
         route.pathPrefix_ = std::string("/") + name + "/";
         route.kind_ = kind;
         route.maxAttempts_ = maxAttempts;
-        route.timeout_ = milliseconds(2000);
+        route.timeout_ = timeout;
         route.objective_ = milliseconds(300);
         route.resumable_ = resumable;
         route.targets_ = {RouteTarget{pool, 1}};
@@ -67,7 +67,8 @@
 class DirectFixture
 {
 public:
-    explicit DirectFixture(std::uint64_t seed = 1, std::uint32_t maxAttempts = 2)
+    explicit DirectFixture(std::uint64_t seed = 1, std::uint32_t maxAttempts = 2,
+                           milliseconds timeout = milliseconds(2000))
     {
         DirectSettings settings;
         settings.name_ = "e1";
@@ -75,7 +76,7 @@
         settings.seed_ = seed;
         state_ = makeDirect(settings);
         ViewChanged view;
-        view.view_ = testView(maxAttempts);
+        view.view_ = testView(maxAttempts, timeout);
         view.share_ = wholeShare;
         view.shareExpires_ = now_ + seconds(1000);
         view.leader_ = "c1";
@@ -467,6 +468,88 @@
     BOOST_TEST(fixture.state_.requests_.empty());
 }
 
+struct PatienceRow
+{
+    const char *name_;
+    RouteKind kind_;
+    milliseconds objective_;
+    milliseconds gapObjective_;
+    milliseconds patience_; ///< 0: none
+};
+
+std::ostream &operator<<(std::ostream &stream, const PatienceRow &row)
+{
+    return stream << row.name_;
+}
+
+const PatienceRow patienceTable[] = {
+    {"shortest", RouteKind::Streaming, milliseconds(300), milliseconds(100), milliseconds(2000)},
+    {"objective", RouteKind::Streaming, milliseconds(1800), milliseconds(400), milliseconds(7200)},
+    {"pause", RouteKind::Streaming, milliseconds(600), milliseconds(500), milliseconds(4000)},
+    {"no times", RouteKind::Streaming, milliseconds(0), milliseconds(0), milliseconds(2000)},
+    {"safe", RouteKind::Safe, milliseconds(1800), milliseconds(400), milliseconds(0)},
+    {"unsafe", RouteKind::Unsafe, milliseconds(1800), milliseconds(400), milliseconds(0)},
+};
+
+BOOST_DATA_TEST_CASE(callers_give_up_streams_without_events, data::make(patienceTable), row)
+{
+    RouteSpec route;
+    route.kind_ = row.kind_;
+    route.objective_ = row.objective_;
+    route.gapObjective_ = row.gapObjective_;
+    const auto patience = callerPatience(route);
+    BOOST_TEST(patience.has_value() == (row.patience_ > milliseconds(0)));
+    BOOST_TEST((patience.value_or(nanoseconds(0)) == row.patience_));
+}
+
+// The caller of "stream" leaves after two seconds without an event.
+BOOST_AUTO_TEST_CASE(stream_without_an_engine_is_refused_while_its_caller_listens)
+{
+    DirectFixture fixture(1, 2, seconds(20));
+    const auto plans = effectsOf<SendToPeer>(fixture.call("stream", 1, seconds(20)));
+    BOOST_REQUIRE(plans.size() == 1u);
+    const auto &plan = std::get<PlanRequest>(plans[0].message_);
+    BOOST_TEST((plan.untilStartDeadline_ == seconds(2)));
+    BOOST_TEST((plan.untilDeadline_ == seconds(20)));
+    BOOST_TEST((nextWake(fixture.state_) < fixture.now_ + seconds(2)));
+    fixture.now_ = nextWake(fixture.state_);
+    const auto effects = fixture.handle(Wake{});
+    const auto refusals = effectsOf<RefuseCall>(effects);
+    BOOST_REQUIRE(refusals.size() == 1u);
+    BOOST_TEST(refusals[0].status_ == 503u);
+    BOOST_TEST((refusals[0].retryAfter_ > nanoseconds(0)));
+    BOOST_REQUIRE(effectsOf<SendToPeer>(effects).size() == 1u);
+    BOOST_TEST(std::holds_alternative<PlanEnd>(effectsOf<SendToPeer>(effects)[0].message_));
+    BOOST_TEST(fixture.state_.requests_.empty());
+    BOOST_TEST(fixture.state_.startDeadlines_.empty());
+}
+
+BOOST_AUTO_TEST_CASE(stream_at_an_engine_is_not_refused_for_its_start)
+{
+    DirectFixture fixture(1, 2, seconds(20));
+    fixture.call("stream", 1, seconds(20));
+    fixture.grant("engine-1");
+    fixture.now_ += seconds(3);
+    BOOST_TEST(effectsOf<RefuseCall>(fixture.handle(Wake{})).empty());
+    BOOST_TEST(fixture.state_.requests_.size() == 1u);
+}
+
+// The caller waits again from its last event on.
+BOOST_AUTO_TEST_CASE(moved_stream_has_to_continue_before_its_caller_leaves)
+{
+    DirectFixture fixture(1, 2, seconds(20));
+    fixture.call("resumable", 1, seconds(20));
+    fixture.grant("engine-1");
+    fixture.handle(RunStarted{1, 1});
+    fixture.now_ += seconds(5);
+    const auto plans =
+        effectsOf<SendToPeer>(fixture.handle(RunSilent{1, 1, "4", true, milliseconds(1750)}));
+    BOOST_REQUIRE(plans.size() == 1u);
+    const auto &plan = std::get<PlanRequest>(plans[0].message_);
+    BOOST_TEST((plan.untilStartDeadline_ == milliseconds(250)));
+    BOOST_TEST((plan.untilDeadline_ == seconds(15)));
+}
+
 // The same request may arrive under other ids at any entry, so crashes are counted fleet-wide for
 // the digest of account, path and body.
 BOOST_AUTO_TEST_CASE(request_that_crashed_three_upstreams_is_refused)
--- a/packages/decision/tests/unit-scheduler.cpp
+++ b/packages/decision/tests/unit-scheduler.cpp
@@ -347,6 +347,46 @@
     BOOST_TEST(result.onTime_ * 10 >= (result.onTime_ + result.late_) * 8);
 }
 
+// A burst of a higher priority delays requests of a lower one, whose deadline is far away, until
+// their callers would leave. Each caller is told before.
+BOOST_DATA_TEST_CASE(no_caller_leaves_before_it_is_answered, data::xrange(1, 6), seed)
+{
+    StageModelSettings settings;
+    settings.seed_ = static_cast<std::uint64_t>(seed);
+    settings.deadline_ = seconds(20);
+    settings.patience_ = milliseconds(4000);
+    StageModel model(settings);
+    model.generateLoad({{"route", 0, 20}, {"other", 2, 15}}, seconds(2));
+    model.generateLoad({{"route", 0, 60}, {"other", 2, 15}}, seconds(10));
+    model.advance(seconds(20));
+    const StageModelResult result = model.result();
+    BOOST_TEST(result.unanswered_ == 0);
+    BOOST_TEST(result.abandoned_ == 0);
+    BOOST_TEST((result.longestRefusal_ < settings.patience_));
+}
+
+// Pieces of requests that have missed their objective are processed in the order in which their
+// callers leave, not in that of their deadlines.
+BOOST_AUTO_TEST_CASE(late_pieces_are_ordered_by_the_time_at_which_callers_leave)
+{
+    Job patient;
+    patient.stages_.resize(1);
+    patient.stages_[0].pool_ = "first";
+    patient.stages_[0].pieces_.resize(1);
+    Job impatient = patient;
+    const Instant now(seconds(1000));
+    patient.objectiveAt_ = impatient.objectiveAt_ = now - seconds(1);
+    patient.deadlineAt_ = patient.startDeadlineAt_ = now + seconds(5);
+    impatient.deadlineAt_ = now + seconds(20);
+    impatient.startDeadlineAt_ = now + seconds(2);
+    const std::map<JobId, Job> jobs{{{"e", "a"}, patient}, {{"e", "b"}, impatient}};
+    auto ready = collectReadyStages(jobs, "first", now);
+    BOOST_REQUIRE(ready.size() == 2u);
+    penalizeTransfers(ready, "");
+    std::sort(ready.begin(), ready.end(), isScheduledBefore);
+    BOOST_TEST(ready[0].job_->request_ == "b");
+}
+
 // With many upstreams a call ends every few milliseconds, so the wait for the next one is short.
 BOOST_DATA_TEST_CASE(load_that_a_large_pool_carries_is_not_refused, data::xrange(1, 6), seed)
 {
--- a/packages/server/src/run_client.cpp
+++ b/packages/server/src/run_client.cpp
@@ -63,6 +63,7 @@
     std::string answerHead_; ///< answer head for the caller; empty once it was sent
     asio::steady_timer silenceTimer_;
     bool reading_ = false; ///< waits for bytes of a stream
+    Instant readingSince_{}; ///< start of that wait
 };
 
 struct RunClient::HeldAnswer
@@ -415,9 +416,9 @@
             run->reading_ && run->silenceTimer_.expiry() <= asio::steady_timer::clock_type::now();
         if (error || !silent)
             return;
-        handlers_.onSilent_(RunSilent{run->command_.token_, run->command_.attempt_,
-                                      run->eventSplitter_->lastId(),
-                                      run->eventSplitter_->isResumable()});
+        handlers_.onSilent_(
+            RunSilent{run->command_.token_, run->command_.attempt_, run->eventSplitter_->lastId(),
+                      run->eventSplitter_->isResumable(), BootClock::now() - run->readingSince_});
         if (!run->stopped_)
             watchSilence(run);
     });
@@ -439,6 +440,7 @@
         run->parser_->get().body().data = readBuffer.data();
         run->parser_->get().body().size = readBuffer.size();
         run->reading_ = true;
+        run->readingSince_ = BootClock::now();
         watchSilence(run);
         co_await parseOrReadSome(connection.stream_, connection.buffer_, *run->parser_,
                                  run->answerSize_, error);
--- a/packages/wire/schema/fleet.capnp
+++ b/packages/wire/schema/fleet.capnp
@@ -565,6 +565,7 @@
   avoid @13 :List(Text);
   remake @14 :Bool;
   results @15 :List(PieceResult);
+  untilStartDeadline @16 :Int64;
 }
 
 struct PlanProgress {
