No view updates are built for upstreams that hold no view

Cause: at each change the leader built an update for every node that it knows, upstreams too, which announce themselves over HTTP and hold no view: their version was 0, so each update was the whole view. With 315 upstreams that is 315 whole views a change, dropped unsent. Change: only nodes that send heartbeats get updates.

--- a/packages/decision/include/chervilspring/detail/control/control.hpp
+++ b/packages/decision/include/chervilspring/detail/control/control.hpp
@@ -85,6 +85,7 @@
     std::uint64_t viewVersion_ = 0; ///< newest version of the view that the node has applied
     bool isAgent_ = false; ///< the node is an agent or a direct upstream
     bool isEntry_ = false; ///< the node is an entry
+    bool holdsView_ = false; ///< the node sends heartbeats and gets the view; others announce only
     std::uint64_t agentBoot_ = 0; ///< boot id of the agent or direct upstream, 0: neither
     Load load_; ///< load of the agent's upstream
     std::uint32_t share_ = 0; ///< share of the fleet-wide limits granted to it, in millionths
--- a/packages/decision/src/control/control.cpp
+++ b/packages/decision/src/control/control.cpp
@@ -51,7 +51,7 @@
     if (!leads(state.consensus_))
         return;
     for (const auto &[name, node] : state.nodes_) {
-        if (node.viewVersion_ >= state.fleet_.view_.version_)
+        if (!node.holdsView_ || node.viewVersion_ >= state.fleet_.view_.version_)
             continue;
         HeartbeatReply reply;
         reply.leader_ = leaderName(state);
@@ -299,6 +299,7 @@
     NodeStatus &node = state.nodes_[peer];
     node.lastHeard_ = now;
     node.viewVersion_ = heartbeat.viewVersion_;
+    node.holdsView_ = true;
     node.isAgent_ = heartbeat.upstream_.has_value();
     node.isEntry_ = heartbeat.isEntry_;
     node.load_ = heartbeat.load_;
--- a/packages/decision/tests/control_group.hpp
+++ b/packages/decision/tests/control_group.hpp
@@ -6,6 +6,7 @@
 
 #include <boost/test/unit_test.hpp>
 
+#include <functional>
 #include <random>
 
 namespace chervilspring {
@@ -143,8 +144,11 @@
             return;
         ControlEffects effects;
         reduce(member.state_, now_, wall(), event, effects);
-        for (ControlEffect &effect : effects)
+        for (ControlEffect &effect : effects) {
+            if (onEffect_)
+                onEffect_(effect);
             executeEffect(member, effect);
+        }
         check(member);
     }
 
@@ -245,6 +249,7 @@
     std::map<std::uint64_t, std::string> answerLeaders_; ///< AnswerProposal::leader_ by token
     std::map<std::uint64_t, bool> readResults_; ///< AnswerRead::ok_ by token
     std::set<std::string> stopped_; ///< processes that have asked to be ended
+    std::function<void(const ControlEffect &)> onEffect_; ///< called with each effect, if set
 
 private:
     WallTime wall() const
--- a/packages/decision/tests/unit-control.cpp
+++ b/packages/decision/tests/unit-control.cpp
@@ -187,4 +187,31 @@
     }
 }
 
+// Direct upstreams announce themselves over HTTP and hold no view. Building an update for each of
+// them at each change made the leader of a fleet with 300 upstreams too slow for its heartbeats.
+BOOST_AUTO_TEST_CASE(no_view_is_built_for_upstreams_without_one)
+{
+    LeaderFixture fixture;
+    std::size_t updates = 0;
+    fixture.group_.onEffect_ = [&](const ControlEffect &effect) {
+        const auto *send = std::get_if<SendToPeer>(&effect);
+        updates += send && std::holds_alternative<HeartbeatReply>(send->message_) ? 1 : 0;
+    };
+    for (std::uint64_t number = 1; number <= 100; ++number) {
+        Upstream upstream;
+        upstream.name_ = "u" + std::to_string(number);
+        upstream.agentBoot_ = 5;
+        upstream.sequence_ = 1;
+        upstream.phase_ = UpstreamPhase::Serving;
+        upstream.direct_ = true;
+        upstream.agentAddress_ = "10.0.0." + std::to_string(number);
+        upstream.agentPort_ = 80;
+        fixture.group_.handle("c1", LocalAnnouncement{number, upstream});
+        if (number % 10 == 0)
+            fixture.group_.run(milliseconds(50));
+    }
+    BOOST_TEST(fixture.upstreams().size() == 100u);
+    BOOST_TEST(updates == 0u);
+}
+
 } // namespace
