Changes of the view that come close together are sent in one update

Change: the leader pushes at most every 100 ms, only what the node wasn't sent yet, and encodes an update once for all nodes with the same version. An update that no heartbeat confirms within 500 ms, or whose connection is lost, is sent again. Tests: changes_close_together_are_sent_once, lost_updates_are_sent_again, restarted_entry_gets_the_whole_view.

--- a/packages/decision/include/chervilspring/detail/control/control.hpp
+++ b/packages/decision/include/chervilspring/detail/control/control.hpp
@@ -66,8 +66,8 @@
 };
 BOOST_DESCRIBE_STRUCT(AnswerRead, (), (token_, ok_, leader_))
 
-using ControlEffect =
-    std::variant<SendToPeer, PersistBatch, AnswerProposal, AnswerRead, DecisionLine, StopNow>;
+using ControlEffect = std::variant<SendToPeer, SendToPeers, PersistBatch, AnswerProposal,
+                                   AnswerRead, DecisionLine, StopNow>;
 using ControlEffects = std::vector<ControlEffect>;
 
 /// @brief The proposer that waits for the outcome of a log entry.
@@ -83,6 +83,11 @@
 {
     Instant lastHeard_{}; ///< when its last heartbeat or announcement arrived
     std::uint64_t viewVersion_ = 0; ///< newest version of the view that the node has applied
+    std::uint64_t sentVersion_ =
+        0; ///< version of the view that it has once it has read all updates
+    /// Version of an update that no heartbeat has confirmed yet; 0: there is none.
+    std::uint64_t unconfirmedVersion_ = 0;
+    Instant unconfirmedSince_{}; ///< when that update was sent
     bool isAgent_ = false; ///< the node is an agent or a direct upstream
     bool isEntry_ = false; ///< the node is an entry
     bool holdsView_ = false; ///< the node sends heartbeats and gets the view; others announce only
@@ -117,6 +122,8 @@
     Instant leadingSince_{}; ///< when this process last became leader
     bool ledBeforeFirstFleet_ = false; ///< became leader before any fleet configuration existed
     Instant nextSweep_{}; ///< when leases and suspects are next checked for expiry
+    Instant nextPushAt_{}; ///< earliest time of the next push of the view to the nodes
+    bool pushPending_ = false; ///< the view has changed since the last push
     Instant stopDeadline_{}; ///< when the process stops at the latest; zero: it isn't stopping
     bool stopped_ = false; ///< StopNow was requested
 };
--- a/packages/decision/include/chervilspring/events.hpp
+++ b/packages/decision/include/chervilspring/events.hpp
@@ -53,6 +53,14 @@
 };
 BOOST_DESCRIBE_STRUCT(SendToPeer, (), (peer_, message_))
 
+/// @brief Effect: send the same message to several processes, each if it is connected.
+struct SendToPeers
+{
+    std::vector<std::string> peers_; ///< names of the receivers
+    Message message_;
+};
+BOOST_DESCRIBE_STRUCT(SendToPeers, (), (peers_, message_))
+
 /// @brief Effect: write a line to the log.
 struct DecisionLine
 {
--- a/packages/decision/src/control/control.cpp
+++ b/packages/decision/src/control/control.cpp
@@ -14,6 +14,12 @@
 constexpr auto stopCommitTimeout = seconds(1);
 constexpr nanoseconds shareLease = seconds(10); // longer than a leader change takes
 constexpr nanoseconds shareClockMargin = seconds(1); // clock drift between VMs
+// Changes within this time reach the nodes in one update. It is short compared with the time in
+// which changes have to be in force everywhere, and long enough for the announcements of a fleet
+// that starts.
+constexpr nanoseconds viewPushInterval = milliseconds(100);
+// An update that a heartbeat doesn't confirm after this time counts as lost.
+constexpr nanoseconds updateTimeout = milliseconds(500);
 
 void processOutput(ControlState &state, Instant now, WallTime wall, ConsensusOutput output,
                    ControlEffects &effects);
@@ -46,21 +52,69 @@
     return names;
 }
 
-void sendViewUpdates(ControlState &state, ControlEffects &effects)
+// Records that an update to the current version is sent to a node.
+void recordUpdateSent(NodeStatus &node, std::uint64_t version, Instant now)
 {
-    if (!leads(state.consensus_))
+    node.sentVersion_ = version;
+    if (node.unconfirmedVersion_ != 0)
         return;
-    for (const auto &[name, node] : state.nodes_) {
-        if (!node.holdsView_ || node.viewVersion_ >= state.fleet_.view_.version_)
+    node.unconfirmedVersion_ = version;
+    node.unconfirmedSince_ = now;
+}
+
+// Takes over the version that a heartbeat reports. Updates that it doesn't include may still be on
+// their way; after updateTimeout they count as lost and are sent again.
+void confirmVersion(NodeStatus &node, std::uint64_t reported, Instant now)
+{
+    node.viewVersion_ = reported;
+    const bool firstConfirmed = reported >= node.unconfirmedVersion_;
+    const bool onTheWay = reported < node.sentVersion_ && node.unconfirmedVersion_ != 0
+        && (firstConfirmed || now - node.unconfirmedSince_ <= updateTimeout);
+    if (!onTheWay) {
+        node.sentVersion_ = reported;
+        node.unconfirmedVersion_ = 0;
+    } else if (firstConfirmed) {
+        node.unconfirmedVersion_ = node.sentVersion_;
+        node.unconfirmedSince_ = now;
+    }
+}
+
+// Sends the nodes what has changed in the view, the same update to all that have the same version.
+void pushViewIfDue(ControlState &state, Instant now, ControlEffects &effects)
+{
+    if (!state.pushPending_ || now < state.nextPushAt_)
+        return;
+    state.pushPending_ = false;
+    if (!leads(state.consensus_))
+        return; // heartbeats get the newest view from the leader
+    state.nextPushAt_ = now + viewPushInterval;
+    const std::uint64_t current = state.fleet_.view_.version_;
+    std::map<std::uint64_t, std::vector<std::string>> namesByVersion;
+    for (auto &[name, node] : state.nodes_) {
+        if (!node.holdsView_ || node.sentVersion_ >= current)
             continue;
+        namesByVersion[node.sentVersion_].push_back(name);
+        recordUpdateSent(node, current, now);
+    }
+    for (auto &[version, names] : namesByVersion) {
         HeartbeatReply reply;
         reply.leader_ = leaderName(state);
         reply.members_ = memberNames(state);
-        reply.update_ = makeUpdate(state.fleet_, node.viewVersion_);
-        effects.push_back(SendToPeer{name, reply});
+        reply.update_ = makeUpdate(state.fleet_, version);
+        effects.push_back(SendToPeers{std::move(names), std::move(reply)});
     }
 }
 
+// The updates that were on their way to a node are lost with its connection.
+void onPeerLost(ControlState &state, const std::string &peer)
+{
+    const auto found = state.nodes_.find(peer);
+    if (found == state.nodes_.end())
+        return;
+    found->second.sentVersion_ = found->second.viewVersion_;
+    found->second.unconfirmedVersion_ = 0;
+}
+
 void applyCommitted(ControlState &state, const std::vector<LogEntry> &entries,
                     ControlEffects &effects)
 {
@@ -77,7 +131,7 @@
         state.waiters_.erase(waiter);
     }
     if (state.fleet_.view_.version_ != versionBefore)
-        sendViewUpdates(state, effects);
+        state.pushPending_ = true;
 }
 
 void compactIfDue(ControlState &state, Instant now, WallTime wall, ControlEffects &effects)
@@ -298,7 +352,7 @@
         proposeAnnouncement(state, now, wall, peer, *heartbeat.upstream_, effects);
     NodeStatus &node = state.nodes_[peer];
     node.lastHeard_ = now;
-    node.viewVersion_ = heartbeat.viewVersion_;
+    confirmVersion(node, heartbeat.viewVersion_, now);
     node.holdsView_ = true;
     node.isAgent_ = heartbeat.upstream_.has_value();
     node.isEntry_ = heartbeat.isEntry_;
@@ -313,8 +367,10 @@
     }
     if (leading && heartbeat.isEntry_)
         grantShare(state, now, node, heartbeat, reply);
-    if (heartbeat.viewVersion_ < state.fleet_.view_.version_)
-        reply.update_ = makeUpdate(state.fleet_, heartbeat.viewVersion_);
+    if (node.sentVersion_ < state.fleet_.view_.version_) {
+        reply.update_ = makeUpdate(state.fleet_, node.sentVersion_);
+        recordUpdateSent(node, state.fleet_.view_.version_, now);
+    }
     effects.push_back(SendToPeer{peer, reply});
 }
 
@@ -450,6 +506,8 @@
     Instant wake = nextWake(state.consensus_);
     if (state.consensus_.role_ == MemberRole::Leader)
         wake = std::min(wake, state.nextSweep_);
+    if (state.pushPending_)
+        wake = std::min(wake, state.nextPushAt_);
     if (state.stopDeadline_ != Instant{} && !state.stopped_)
         wake = std::min(wake, state.stopDeadline_);
     return wake;
@@ -467,7 +525,7 @@
     std::visit(
         Overloaded{
             [&](const PeerMessage &e) { onPeerMessage(state, now, wall, e, effects); },
-            [](const PeerLost &) {},
+            [&](const PeerLost &e) { onPeerLost(state, e.peer_); },
             [&](const BatchSynced &e) {
                 ConsensusOutput nested;
                 onSynced(state.consensus_, now, e.sequence_, nested);
@@ -491,6 +549,7 @@
             [&](const SeedsChanged &e) { state.consensus_.settings_.controlNames_ = e.names_; },
         },
         event);
+    pushViewIfDue(state, now, effects);
     stopWhenHandedOver(state, now, wall, effects);
 }
 
--- a/packages/decision/tests/unit-control.cpp
+++ b/packages/decision/tests/unit-control.cpp
@@ -1,4 +1,5 @@
 // Tests of detail/control/control.hpp: heartbeats, announcements and shares of fleet-wide limits.
+#include "chervilspring/detail/node/node.hpp"
 #include "control_group.hpp"
 
 #include <boost/test/data/monomorphic.hpp>
@@ -187,6 +188,118 @@
     }
 }
 
+Upstream directUpstream(std::uint64_t number)
+{
+    Upstream upstream;
+    upstream.name_ = "u" + std::to_string(number);
+    upstream.agentBoot_ = 5;
+    upstream.sequence_ = 1;
+    upstream.phase_ = UpstreamPhase::Serving;
+    upstream.direct_ = true;
+    upstream.agentAddress_ = "10.0.0." + std::to_string(number);
+    upstream.agentPort_ = 80;
+    return upstream;
+}
+
+// A leader with the entry "e1", which applies the updates that it gets unless they are lost.
+struct PushFixture : LeaderFixture
+{
+    PushFixture()
+    {
+        group_.onEffect_ = [this](const ControlEffect &effect) {
+            const auto *send = std::get_if<SendToPeer>(&effect);
+            const auto *push = std::get_if<SendToPeers>(&effect);
+            if (send && send->peer_ == "e1")
+                receive(send->message_);
+            if (push && std::count(push->peers_.begin(), push->peers_.end(), "e1") > 0)
+                receive(push->message_);
+        };
+    }
+
+    void receive(const Message &message)
+    {
+        const auto *reply = std::get_if<HeartbeatReply>(&message);
+        if (!reply || !reply->update_)
+            return;
+        ++updates_;
+        upstreamsSent_ += reply->update_->upstreams_.size();
+        if (lost_)
+            return;
+        if (const ViewPointer newer = updateView(*view_, *reply->update_))
+            view_ = newer;
+    }
+
+    void beat()
+    {
+        Heartbeat heartbeat = entryHeartbeat("e1", 0);
+        heartbeat.viewVersion_ = view_->version_;
+        group_.handle("c1", PeerMessage{"e1", heartbeat});
+    }
+
+    void announce(std::uint64_t number)
+    {
+        group_.handle("c1", LocalAnnouncement{number, directUpstream(number)});
+    }
+
+    ViewPointer view_ = std::make_shared<const View>();
+    bool lost_ = false; ///< updates are lost on their way
+    std::size_t updates_ = 0;
+    std::size_t upstreamsSent_ = 0; ///< in all updates
+};
+
+// Each announcement was sent to each entry by itself, together with all others since its last
+// heartbeat.
+BOOST_AUTO_TEST_CASE(changes_close_together_are_sent_once)
+{
+    PushFixture fixture;
+    fixture.beat();
+    fixture.updates_ = 0;
+    for (std::uint64_t number = 1; number <= 100; ++number) {
+        fixture.announce(number);
+        fixture.group_.syncOldest("c1"); // each is committed by itself
+        if (number % 50 == 0)
+            fixture.group_.run(milliseconds(50));
+    }
+    fixture.group_.run(milliseconds(200));
+    BOOST_TEST(fixture.view_->upstreams_.size() == 100u);
+    BOOST_TEST(fixture.updates_ <= 4u); // in 300 ms
+    BOOST_TEST(fixture.upstreamsSent_ == 100u);
+}
+
+// Each row: when the entry's connection is reported lost, or never.
+BOOST_DATA_TEST_CASE(lost_updates_are_sent_again, data::make({false, true}), connectionLost)
+{
+    PushFixture fixture;
+    fixture.beat();
+    fixture.lost_ = true;
+    fixture.announce(1);
+    fixture.group_.run(milliseconds(150));
+    if (connectionLost)
+        fixture.group_.handle("c1", PeerLost{"e1"});
+    fixture.lost_ = false;
+    for (int i = 0; i < 3; ++i) {
+        fixture.announce(10 + static_cast<std::uint64_t>(i));
+        fixture.group_.run(milliseconds(350));
+        fixture.beat();
+    }
+    BOOST_TEST(fixture.view_->upstreams_.size() == 4u);
+    BOOST_TEST(fixture.view_->version_ == fixture.group_.member("c1").state_.fleet_.view_.version_);
+}
+
+// A restarted entry reports an older version than before.
+BOOST_AUTO_TEST_CASE(restarted_entry_gets_the_whole_view)
+{
+    PushFixture fixture;
+    fixture.announce(1);
+    fixture.group_.run(milliseconds(150));
+    fixture.beat();
+    fixture.beat();
+    BOOST_TEST(fixture.view_->upstreams_.size() == 1u);
+    fixture.view_ = std::make_shared<const View>();
+    fixture.beat();
+    BOOST_TEST(fixture.view_->upstreams_.size() == 1u);
+}
+
 // Direct upstreams announce themselves over HTTP and hold no view. Building an update for each of
 // them at each change made the leader of a fleet with 300 upstreams too slow for its heartbeats.
 BOOST_AUTO_TEST_CASE(no_view_is_built_for_upstreams_without_one)
@@ -195,18 +308,12 @@
     std::size_t updates = 0;
     fixture.group_.onEffect_ = [&](const ControlEffect &effect) {
         const auto *send = std::get_if<SendToPeer>(&effect);
-        updates += send && std::holds_alternative<HeartbeatReply>(send->message_) ? 1 : 0;
+        const bool isPush = std::holds_alternative<SendToPeers>(effect);
+        updates +=
+            isPush || (send && std::holds_alternative<HeartbeatReply>(send->message_)) ? 1 : 0;
     };
     for (std::uint64_t number = 1; number <= 100; ++number) {
-        Upstream upstream;
-        upstream.name_ = "u" + std::to_string(number);
-        upstream.agentBoot_ = 5;
-        upstream.sequence_ = 1;
-        upstream.phase_ = UpstreamPhase::Serving;
-        upstream.direct_ = true;
-        upstream.agentAddress_ = "10.0.0." + std::to_string(number);
-        upstream.agentPort_ = 80;
-        fixture.group_.handle("c1", LocalAnnouncement{number, upstream});
+        fixture.group_.handle("c1", LocalAnnouncement{number, directUpstream(number)});
         if (number % 10 == 0)
             fixture.group_.run(milliseconds(50));
     }
--- a/packages/server/include/chervilspring/detail/net/peer_network.hpp
+++ b/packages/server/include/chervilspring/detail/net/peer_network.hpp
@@ -85,6 +85,9 @@
     /// PeerHandlers::onLost_ reports, or if too many messages already wait for one.
     void send(const std::string &peer, const Message &message);
 
+    /// @brief Sends the same message to several peers, each as send() does. It is encoded once.
+    void sendToAll(const std::vector<std::string> &peers, const Message &message);
+
     /// @brief Whether a connection to a peer is open.
     bool connected(const std::string &peer) const;
 
@@ -118,6 +121,8 @@
     void deliver(const ConnectionPointer &connection, Frame frame);
     void onPing(const ConnectionPointer &connection, const Ping &ping);
     void enqueue(const ConnectionPointer &connection, const Message &message);
+    void enqueueEncoded(const ConnectionPointer &connection, const std::string &payload,
+                        bool carriesWork);
     void registerConnection(const ConnectionPointer &connection);
     void closeConnection(const ConnectionPointer &connection);
     void pingIfDue(const ConnectionPointer &connection, Instant now);
--- a/packages/server/src/control_thread.cpp
+++ b/packages/server/src/control_thread.cpp
@@ -232,6 +232,7 @@
     for (ControlEffect &effect : effects) {
         std::visit(Overloaded{
                        [&](const SendToPeer &e) { network_.send(e.peer_, e.message_); },
+                       [&](const SendToPeers &e) { network_.sendToAll(e.peers_, e.message_); },
                        [&](PersistBatch &e) { storage_.submit(std::move(e)); },
                        [&](const AnswerProposal &e) { answerProposal(e); },
                        [&](const AnswerRead &e) { answerRead(e); },
--- a/packages/server/src/peer_network.cpp
+++ b/packages/server/src/peer_network.cpp
@@ -164,6 +164,19 @@
     asio::co_spawn(context_, dial(peer, *address, last), asio::detached);
 }
 
+void PeerNetwork::sendToAll(const std::vector<std::string> &peers, const Message &message)
+{
+    const std::string payload = encodeMessage(message);
+    const bool isWork = carriesWork(message);
+    for (const std::string &peer : peers) {
+        const auto found = connections_.find(peer);
+        if (found == connections_.end() || found->second.empty())
+            send(peer, message);
+        else
+            enqueueEncoded(found->second.back(), payload, isWork);
+    }
+}
+
 void PeerNetwork::close()
 {
     closed_ = true;
@@ -379,10 +392,16 @@
 }
 
 void PeerNetwork::enqueue(const ConnectionPointer &connection, const Message &message)
+{
+    enqueueEncoded(connection, encodeMessage(message), carriesWork(message));
+}
+
+void PeerNetwork::enqueueEncoded(const ConnectionPointer &connection, const std::string &payload,
+                                 bool carriesWork)
 {
     const Instant now = BootClock::now();
-    std::string frame = makeFrame(now, encodeMessage(message));
-    if (carriesWork(message))
+    std::string frame = makeFrame(now, payload);
+    if (carriesWork)
         connection->lastWorkAt_ = now;
     ++traffic_.messagesSent_;
     traffic_.bytesSent_ += frame.size();
