--- a/packages/decision/include/chervilspring/detail/scheduler/piece_plan.hpp
+++ b/packages/decision/include/chervilspring/detail/scheduler/piece_plan.hpp
@@ -124,6 +124,9 @@
 /// @brief Returns whether all predecessors of a stage are done.
 bool inputsReady(const Job &job, std::size_t stage);
 
+/// @brief Returns whether any piece of a stage waits to be processed.
+bool hasWaitingPieces(const StageWork &stage);
+
 /// @brief Returns whether every piece of a stage is done.
 bool stageDone(const StageWork &stage);
 
--- a/packages/decision/include/chervilspring/detail/scheduler/scheduler.hpp
+++ b/packages/decision/include/chervilspring/detail/scheduler/scheduler.hpp
@@ -101,6 +101,10 @@
     QuarantineTable quarantines_;
     std::map<std::uint64_t, StageCall> calls_; ///< calls in progress by call id
     std::uint64_t nextCallId_ = 1;
+    /// When calls to a pool may next be possible, by pool name. A pool without an entry is not
+    /// looked at before the next sweep.
+    std::map<std::string, Instant> dispatchDueAt_;
+    std::uint64_t dispatches_ = 0; ///< how often a pool was searched for calls to start
     Instant nextSweepAt_{}; ///< when timeouts are next checked and grants retried
     Instant tookOverAt_{}; ///< when requests of another scheduler began to arrive; Instant{}: never
     Instant dispatchPausedUntil_{}; ///< no call is started before this time
--- a/packages/decision/include/chervilspring/detail/scheduler/scheduler_steps.hpp
+++ b/packages/decision/include/chervilspring/detail/scheduler/scheduler_steps.hpp
@@ -67,7 +67,18 @@
 bool tryGrant(SchedulerState &state, Instant now, const JobId &id, Job &job,
               SchedulerEffects &effects);
 
-/// @brief Starts calls to idle stage upstreams.
+/// @brief Requests that dispatchCalls() looks at a pool: pieces have become ready, or an upstream
+/// has become idle or has storage again.
+/// @param at earliest time at which calls may be possible
+void requestDispatch(SchedulerState &state, const std::string &pool, Instant at);
+
+/// @brief Requests that dispatchCalls() looks at the pools that have ready pieces of a request.
+void requestDispatchOf(SchedulerState &state, const Job &job, Instant now);
+
+/// @brief Requests that dispatchCalls() looks at all pools.
+void requestDispatchOfAll(SchedulerState &state, Instant now);
+
+/// @brief Starts calls to idle stage upstreams of the pools for which that was requested.
 void dispatchCalls(SchedulerState &state, Instant now, SchedulerEffects &effects);
 
 /// @brief Refuses a new request that would be late under the current load.
--- a/packages/decision/include/chervilspring/detail/scheduler/stage_storage.hpp
+++ b/packages/decision/include/chervilspring/detail/scheduler/stage_storage.hpp
@@ -14,6 +14,9 @@
 
 namespace chervilspring {
 
+/// @brief Time after which an upstream has received the message that frees a result.
+inline constexpr nanoseconds resultFreeDelay = milliseconds(10);
+
 /// @brief A result that occupies storage at the upstream that produced it.
 struct HeldResult
 {
--- a/packages/decision/src/scheduler/piece_plan.cpp
+++ b/packages/decision/src/scheduler/piece_plan.cpp
@@ -75,6 +75,12 @@
                        [](const Piece &piece) { return piece.state_ == PieceState::Done; });
 }
 
+bool hasWaitingPieces(const StageWork &stage)
+{
+    return std::any_of(stage.pieces_.begin(), stage.pieces_.end(),
+                       [](const Piece &piece) { return piece.state_ == PieceState::Waiting; });
+}
+
 bool inputsReady(const Job &job, std::size_t stage)
 {
     const auto &predecessors = job.stages_[stage].predecessors_;
@@ -206,15 +212,14 @@
     for (const auto &[id, job] : jobs) {
         for (std::size_t stage = 0; stage < job.stages_.size(); ++stage) {
             const StageWork &work = job.stages_[stage];
-            if (work.pool_ != pool)
+            if (work.pool_ != pool || !hasWaitingPieces(work) || !inputsReady(job, stage))
                 continue;
             ReadyStage readyStage;
+            readyStage.pieces_.reserve(work.pieces_.size());
             for (std::size_t piece = 0; piece < work.pieces_.size(); ++piece) {
                 if (work.pieces_[piece].state_ == PieceState::Waiting)
                     readyStage.pieces_.push_back(static_cast<std::uint32_t>(piece));
             }
-            if (readyStage.pieces_.empty() || !inputsReady(job, stage))
-                continue;
             readyStage.job_ = &id;
             readyStage.stage_ = static_cast<std::uint32_t>(stage);
             readyStage.missesObjective_ = now + work.criticalPathTime_ > stagesDueAt(job);
--- a/packages/decision/src/scheduler/scheduler.cpp
+++ b/packages/decision/src/scheduler/scheduler.cpp
@@ -133,7 +133,8 @@
         cost.prefillTime_ + meanPlusDeviation(state.prefillOverruns_[request.pool_]);
     if (!hasStarted(job) && refuseIfLate(state, now, id, job, effects))
         return;
-    tryGrant(state, now, id, job, effects);
+    if (!tryGrant(state, now, id, job, effects))
+        requestDispatchOf(state, job, now);
     dispatchCalls(state, now, effects);
 }
 
@@ -271,8 +272,10 @@
             continue;
         }
         freeConsumedResults(state, now, job, effects);
-        if (!tryGrant(state, now, id, job, effects))
-            reportProgress(call, id, job, effects);
+        if (tryGrant(state, now, id, job, effects))
+            continue;
+        requestDispatchOf(state, job, now);
+        reportProgress(call, id, job, effects);
     }
 }
 
@@ -326,6 +329,7 @@
     else if (done)
         recordStorageAvailable(state.stageUpstreams_[call.upstream_]);
     updateRequestsOfCall(state, now, call, effects);
+    requestDispatch(state, call.pool_, now);
     dispatchCalls(state, now, effects);
 }
 
@@ -351,6 +355,7 @@
         return item.second.runs_.empty() && !known(item.first);
     });
     updateQuarantines(state, now, effects);
+    requestDispatchOfAll(state, now);
 }
 
 void onPeerLost(SchedulerState &state, Instant now, const std::string &peer,
@@ -415,6 +420,7 @@
         state.nextSweepAt_ = std::min(state.nextSweepAt_, state.dispatchPausedUntil_);
     sweepPlanned(state, now, effects);
     sweepGranted(state, now, effects);
+    requestDispatchOfAll(state, now);
     dispatchCalls(state, now, effects);
 }
 
@@ -441,7 +447,9 @@
 {
     constexpr nanoseconds idleDelay = seconds(3600);
     const bool idle = state.jobs_.empty() && state.granted_.empty();
-    const Instant sweepAt = idle ? state.nextSweepAt_ + idleDelay : state.nextSweepAt_;
+    Instant sweepAt = idle ? state.nextSweepAt_ + idleDelay : state.nextSweepAt_;
+    for (const auto &[pool, due] : state.dispatchDueAt_)
+        sweepAt = std::min(sweepAt, std::max(due, state.dispatchPausedUntil_));
     return std::min(sweepAt, nextProposalAt(state.quarantines_));
 }
 
@@ -456,7 +464,7 @@
                        onView(state, now, e.view_, effects);
                        dispatchCalls(state, now, effects);
                    },
-                   [](const Wake &) {},
+                   [&](const Wake &) { dispatchCalls(state, now, effects); },
                },
                event);
     sweep(state, now, effects);
--- a/packages/decision/src/scheduler/scheduler_calls.cpp
+++ b/packages/decision/src/scheduler/scheduler_calls.cpp
@@ -141,6 +141,7 @@
     auto idle = idleUpstreams(state, pool, now);
     if (idle.empty())
         return;
+    ++state.dispatches_;
     auto ready = collectReadyStages(state.jobs_, pool, now);
     while (!idle.empty() && !ready.empty()) {
         const Upstream *upstream = takeNearestUpstream(idle, ready);
@@ -156,13 +157,42 @@
 
 } // namespace
 
+void requestDispatch(SchedulerState &state, const std::string &pool, Instant at)
+{
+    const auto [due, isNew] = state.dispatchDueAt_.emplace(pool, at);
+    if (!isNew)
+        due->second = std::min(due->second, at);
+}
+
+void requestDispatchOf(SchedulerState &state, const Job &job, Instant now)
+{
+    for (std::size_t stage = 0; stage < job.stages_.size(); ++stage) {
+        const StageWork &work = job.stages_[stage];
+        if (hasWaitingPieces(work) && inputsReady(job, stage))
+            requestDispatch(state, work.pool_, now);
+    }
+}
+
+void requestDispatchOfAll(SchedulerState &state, Instant now)
+{
+    for (const Pool &pool : state.view_->fleet_.pools_) {
+        if (pool.pieces_)
+            requestDispatch(state, pool.name_, now);
+    }
+}
+
 void dispatchCalls(SchedulerState &state, Instant now, SchedulerEffects &effects)
 {
     if (now < state.dispatchPausedUntil_)
         return;
-    for (const Pool &pool : state.view_->fleet_.pools_) {
-        if (pool.pieces_)
-            dispatchPool(state, now, pool.name_, *pool.pieces_, effects);
+    for (auto next = state.dispatchDueAt_.begin(); next != state.dispatchDueAt_.end();) {
+        const auto due = next++;
+        if (due->second > now)
+            continue;
+        const std::string pool = due->first;
+        state.dispatchDueAt_.erase(due);
+        if (const PieceCapacity *capacity = pieceCapacity(state, pool))
+            dispatchPool(state, now, pool, *capacity, effects);
     }
 }
 
--- a/packages/decision/src/scheduler/scheduler_results.cpp
+++ b/packages/decision/src/scheduler/scheduler_results.cpp
@@ -21,6 +21,7 @@
         StageUpstream &producer = state.stageUpstreams_[name];
         for (const std::string &handle : handles)
             freeResult(producer, handle, now);
+        requestDispatch(state, stage.pool_, now + resultFreeDelay);
         if (const Upstream *upstream = findUpstream(state, name))
             effects.push_back(FreeResults{*upstream, std::move(handles)});
     }
@@ -107,6 +108,8 @@
         lostPieces += lostOfJob;
     }
     state.stageUpstreams_[upstream].heldResults_.clear();
+    if (lostPieces > 0)
+        requestDispatchOfAll(state, state.nextSweepAt_);
     if (lostPieces > 0)
         effects.push_back(DecisionLine{"decision=results_lost upstream=" + upstream + " pieces="
                                        + std::to_string(lostPieces) + " reason=" + reason});
--- a/packages/decision/src/scheduler/stage_storage.cpp
+++ b/packages/decision/src/scheduler/stage_storage.cpp
@@ -6,7 +6,6 @@
 
 namespace {
 
-constexpr nanoseconds freeDelay = milliseconds(10); // until an upstream has received the message
 // Time for which storage counts as full after it ran out. It is shorter than a call, and results
 // are freed meanwhile.
 constexpr nanoseconds fullPause = milliseconds(150);
@@ -47,7 +46,7 @@
 {
     const auto found = upstream.heldResults_.find(handle);
     if (found != upstream.heldResults_.end())
-        found->second.expiresAt_ = std::min(found->second.expiresAt_, now + freeDelay);
+        found->second.expiresAt_ = std::min(found->second.expiresAt_, now + resultFreeDelay);
     std::erase_if(upstream.heldResults_,
                   [&](const auto &item) { return item.second.expiresAt_ <= now; });
 }
--- a/packages/decision/tests/unit-scheduler.cpp
+++ b/packages/decision/tests/unit-scheduler.cpp
@@ -387,6 +387,26 @@
     BOOST_TEST(ready[0].job_->request_ == "b");
 }
 
+// Searching all pools for calls at every event took most of the scheduler's time while many
+// requests were being planned. An event searches the pools that it has changed.
+BOOST_AUTO_TEST_CASE(events_search_only_the_pools_that_they_change)
+{
+    StageModelSettings settings;
+    settings.stageUpstreams_ = 200; // always some are idle
+    StageModel model(settings);
+    for (int i = 0; i < 100; ++i)
+        model.submit(8, 8); // a call of its own
+    BOOST_TEST(model.calls_.size() == 100u);
+    // Both pools at the first view and in the first sweep, then one for each request.
+    BOOST_TEST(model.state().dispatches_ <= 104u);
+    const std::uint64_t before = model.state().dispatches_;
+    for (int i = 0; i < 100; ++i)
+        model.handle(0, PeerMessage{"entry", PlanEnd{"unknown", 1, true, ""}});
+    BOOST_TEST(model.state().dispatches_ == before);
+    model.advance(milliseconds(2000));
+    BOOST_TEST(model.granted_.size() == 100u);
+}
+
 // With many upstreams a call ends every few milliseconds, so the wait for the next one is short.
 BOOST_DATA_TEST_CASE(load_that_a_large_pool_carries_is_not_refused, data::xrange(1, 6), seed)
 {
--- a/packages/server/src/scheduler_thread.cpp
+++ b/packages/server/src/scheduler_thread.cpp
@@ -78,7 +78,8 @@
         writeLog(LogLevel::Info,
                  "scheduler load " + *text + " planned=" + std::to_string(state_.jobs_.size())
                      + " granted=" + std::to_string(state_.granted_.size())
-                     + " calls=" + std::to_string(state_.calls_.size()));
+                     + " calls=" + std::to_string(state_.calls_.size())
+                     + " dispatches=" + std::to_string(state_.dispatches_));
 }
 
 void SchedulerThread::applyEffects(SchedulerEffects &effects)
