Choosing an engine costs a scheduler less

Cause: for each of the 180 engines a choice searched the view and two ordered maps by name, made a text and hashed it. Change: the pool's upstreams are kept as pointers, engines and cached parts are hashed, the prompt's digest is computed once a choice. Requests are placed by another hash than before; it is still the same at every scheduler.

--- a/packages/decision/include/chervilspring/detail/scheduler/engine_cost.hpp
+++ b/packages/decision/include/chervilspring/detail/scheduler/engine_cost.hpp
@@ -14,6 +14,7 @@
 #include <map>
 #include <optional>
 #include <set>
+#include <unordered_map>
 
 namespace chervilspring {
 
@@ -33,12 +34,12 @@
     std::map<std::string, EngineRun> runs_; ///< running requests by request id
     std::uint64_t cacheTokens_ = 0; ///< cache that all runs together occupy, in tokens
     std::uint64_t pendingPrefillTokens_ = 0; ///< uncached prompt tokens of the runs in prefill
-    std::map<std::string, Instant> cachedParts_; ///< last use of prompt parts, by part id
+    std::unordered_map<std::string, Instant> cachedParts_; ///< last use of prompt parts, by part id
     Avoidance avoidance_; ///< backoff after failed runs
 };
 
 /// @brief Engines by upstream name.
-using EngineTable = std::map<std::string, Engine>;
+using EngineTable = std::unordered_map<std::string, Engine>;
 
 /// @brief Estimated cost of running a request at an engine.
 struct EngineCost
@@ -61,14 +62,20 @@
 /// Total costs are compared in coarse steps; within a step the placement hash decides.
 bool isPreferred(const EngineCost &left, const EngineCost &right);
 
+/// @brief Returns the digest of the prompt part by which requests are placed: the last shared one.
+///
+/// It is the same for all engines, so it is computed once for each choice.
+std::uint64_t placementKey(const PlanRequest &request);
+
 /// @brief Estimates the cost of running a request at an engine.
+/// @param key placementKey() of the request
 /// @param engine state of the engine
 /// @param upstream upstream that the engine runs at
 /// @param capacity capacity of the engine
 /// @param inputs sizes of the stage results that the engine has to fetch
 EngineCost computeEngineCost(const Engine &engine, const Upstream &upstream,
                              const EngineCapacity &capacity, const PlanRequest &request,
-                             const InputBytes &inputs, Instant now);
+                             std::uint64_t key, const InputBytes &inputs, Instant now);
 
 /// @brief Records that a request runs at an engine, whose cache then holds its prompt parts.
 /// @param cost cost of the request at this engine before the run was added
--- a/packages/decision/include/chervilspring/detail/scheduler/scheduler.hpp
+++ b/packages/decision/include/chervilspring/detail/scheduler/scheduler.hpp
@@ -88,8 +88,8 @@
 struct SchedulerState
 {
     ViewPointer view_ = std::make_shared<const View>();
-    /// Names of the upstreams that accept new work, by pool name.
-    std::map<std::string, std::vector<std::string>> upstreamsByPool_;
+    /// Upstreams that accept new work, owned by view_, by pool name.
+    std::map<std::string, std::vector<const Upstream *>> upstreamsByPool_;
     std::map<JobId, Job> jobs_; ///< requests that are being planned
     std::map<JobId, Job> granted_; ///< requests that were assigned to an engine
     std::map<std::string, StageUpstream> stageUpstreams_; ///< by upstream name
--- a/packages/decision/src/scheduler/engine_cost.cpp
+++ b/packages/decision/src/scheduler/engine_cost.cpp
@@ -58,15 +58,15 @@
     engine.runs_.erase(found);
 }
 
-// Rendezvous hash of the last shared prompt part and the engine. The last part of a prompt counts
-// as the request's own, so the one before it is used. The hash is the same at every scheduler, so
+// Rendezvous hash of a placement key and an engine. The hash is the same at every scheduler, so
 // that a new scheduler finds prompts in the cache where its predecessor placed them.
-std::uint64_t placementHash(const PlanRequest &request, const Upstream &upstream)
+std::uint64_t placementHash(std::uint64_t key, const Upstream &upstream)
 {
-    const std::size_t count = request.parts_.size();
-    const std::string sharedPart = count >= 2 ? request.parts_[count - 2].id_
-                                              : (count == 1 ? request.parts_[0].id_ : request.id_);
-    return contentDigest(sharedPart + "/" + upstream.name_);
+    // Multiplication and shifts as in splitmix64 spread the combined bits.
+    std::uint64_t hash = key ^ contentDigest(upstream.name_);
+    hash = (hash ^ (hash >> 30)) * 0xbf58476d1ce4e5b9u;
+    hash = (hash ^ (hash >> 27)) * 0x94d049bb133111ebu;
+    return hash ^ (hash >> 31);
 }
 
 } // namespace
@@ -78,9 +78,18 @@
     return left.placementHash_ < right.placementHash_;
 }
 
+std::uint64_t placementKey(const PlanRequest &request)
+{
+    // The last part of a prompt counts as the request's own, so the one before it is used.
+    const std::size_t count = request.parts_.size();
+    if (count == 0)
+        return contentDigest(request.id_);
+    return contentDigest(request.parts_[count >= 2 ? count - 2 : 0].id_);
+}
+
 EngineCost computeEngineCost(const Engine &engine, const Upstream &upstream,
                              const EngineCapacity &capacity, const PlanRequest &request,
-                             const InputBytes &inputs, Instant now)
+                             std::uint64_t key, const InputBytes &inputs, Instant now)
 {
     EngineCost cost;
     cost.uncachedTokens_ = uncachedTokens(engine, request, now);
@@ -95,7 +104,7 @@
     }
     cost.prefillTime_ = prefillTime(pendingTokens + cost.uncachedTokens_);
     const double megabytes = static_cast<double>(cost.crossDataCenterBytes_) / bytesPerMb;
-    cost.placementHash_ = placementHash(request, upstream);
+    cost.placementHash_ = placementHash(key, upstream);
     cost.total_ = prefillTime(pendingTokens) + prefillTime(cost.uncachedTokens_) * prefillCostFactor
         + costPerRun * static_cast<std::int64_t>(engine.runs_.size())
         + nanoseconds(static_cast<std::int64_t>(megabytes * transferPenaltyPerMb.count()));
--- a/packages/decision/src/scheduler/scheduler.cpp
+++ b/packages/decision/src/scheduler/scheduler.cpp
@@ -342,12 +342,7 @@
     }
     for (auto &[id, job] : state.jobs_)
         estimateStageTimes(job, view->fleet_);
-    state.upstreamsByPool_.clear();
-    for (const auto &[pool, upstreams] : poolMembers(*view)) {
-        auto &names = state.upstreamsByPool_[pool];
-        for (const Upstream *upstream : upstreams)
-            names.push_back(upstream->name_);
-    }
+    state.upstreamsByPool_ = poolMembers(*view);
     const auto known = [&](const std::string &name) { return findByName(view->upstreams_, name); };
     std::erase_if(state.stageUpstreams_,
                   [&](const auto &item) { return item.second.call_ == 0 && !known(item.first); });
--- a/packages/decision/src/scheduler/scheduler_admission.cpp
+++ b/packages/decision/src/scheduler/scheduler_admission.cpp
@@ -17,13 +17,13 @@
 
 // Returns the pieces per second that the upstreams of a pool process if all calls are full.
 double maxPieceRate(const SchedulerState &state, const PieceCapacity &capacity,
-                    const std::vector<std::string> &upstreams)
+                    const std::vector<const Upstream *> &upstreams)
 {
     const double callSeconds =
         std::chrono::duration<double>(expectedCallTime(capacity, batchSize(capacity))).count();
     double rate = 0;
-    for (const std::string &name : upstreams) {
-        const auto known = state.stageUpstreams_.find(name);
+    for (const Upstream *upstream : upstreams) {
+        const auto known = state.stageUpstreams_.find(upstream->name_);
         const double slowdown =
             known == state.stageUpstreams_.end() ? 1.0 : known->second.slowdown_;
         rate += batchSize(capacity) / (callSeconds * slowdown);
--- a/packages/decision/src/scheduler/scheduler_calls.cpp
+++ b/packages/decision/src/scheduler/scheduler_calls.cpp
@@ -26,9 +26,8 @@
     const auto upstreams = state.upstreamsByPool_.find(pool);
     if (upstreams == state.upstreamsByPool_.end())
         return idle;
-    for (const std::string &name : upstreams->second) {
-        const Upstream *upstream = findUpstream(state, name);
-        if (upstream && isIdle(state, name, now))
+    for (const Upstream *upstream : upstreams->second) {
+        if (isIdle(state, upstream->name_, now))
             idle.push_back(upstream);
     }
     const auto slowdown = [&](const Upstream *upstream) {
