The scheduler gets changes of the view that come close together as one

Cause: each change copied the whole view, 315 upstreams and the configuration, and rebuilt the pools; a start makes 315. Change: at most one view in 50 ms.

--- a/packages/server/include/chervilspring/detail/process/control_thread.hpp
+++ b/packages/server/include/chervilspring/detail/process/control_thread.hpp
@@ -106,6 +106,7 @@
     std::unique_ptr<SchedulerThread> scheduler_;
     std::unique_ptr<HttpServer> metricsServer_;
     std::uint64_t schedulerViewVersion_ = 0; ///< version of the last view passed to scheduler_
+    Instant nextSchedulerViewAt_{}; ///< earliest time of the next view for scheduler_
     /// Callbacks of pending proposals from adapters, by token.
     std::map<std::uint64_t, std::function<void(const AnswerProposal &)>> proposals_;
     /// Callbacks of pending reads from adapters, by token.
--- a/packages/server/src/control_thread.cpp
+++ b/packages/server/src/control_thread.cpp
@@ -17,6 +17,7 @@
 
 namespace {
 
+constexpr nanoseconds schedulerViewInterval = milliseconds(50); // between views for the scheduler
 // For writing the answers that a stop leaves; a caller that doesn't read doesn't hold it up.
 constexpr nanoseconds lastAnswersTimeout = milliseconds(500);
 
@@ -156,11 +157,18 @@
 }
 
 // Passes the newest applied view to the scheduler thread, unless it has been passed already.
+// Changes that come close together are passed as one: each view is copied whole.
 void ControlThread::forwardViewToScheduler()
 {
     const View &view = state_.fleet_.view_;
     if (!scheduler_ || view.version_ == schedulerViewVersion_)
         return;
+    const Instant now = BootClock::now();
+    if (now < nextSchedulerViewAt_) {
+        timer_.arm(nextSchedulerViewAt_);
+        return;
+    }
+    nextSchedulerViewAt_ = now + schedulerViewInterval;
     schedulerViewVersion_ = view.version_;
     scheduler_->post(std::make_shared<const View>(view));
 }
