--- a/packages/decision/include/chervilspring/detail/scheduler/engine_cost.hpp
+++ b/packages/decision/include/chervilspring/detail/scheduler/engine_cost.hpp
@@ -34,7 +34,8 @@
     std::map<std::string, EngineRun> runs_; ///< running requests by request id
     std::uint64_t cacheTokens_ = 0; ///< cache that all runs together occupy, in tokens
     std::uint64_t pendingPrefillTokens_ = 0; ///< uncached prompt tokens of the runs in prefill
-    std::unordered_map<std::string, Instant> cachedParts_; ///< last use of prompt parts, by part id
+    /// Last use of prompt parts, by the digest of the part id, see PromptKeys.
+    std::unordered_map<std::uint64_t, Instant> cachedParts_;
     Avoidance avoidance_; ///< backoff after failed runs
 };
 
@@ -62,20 +63,26 @@
 /// Total costs are compared in coarse steps; within a step the placement hash decides.
 bool isPreferred(const EngineCost &left, const EngineCost &right);
 
-/// @brief Returns the digest of the prompt part by which requests are placed: the last shared one.
-///
-/// It is the same for all engines, so it is computed once for each choice.
-std::uint64_t placementKey(const PlanRequest &request);
+/// @brief Digests of the prompt parts of a request. They are the same for all engines, so they are
+/// computed once for each choice.
+struct PromptKeys
+{
+    std::vector<std::uint64_t> parts_; ///< digests of the part ids, in prompt order
+    std::uint64_t placement_ = 0; ///< digest by which requests are placed: of the last shared part
+};
+
+/// @brief Computes the digests of the prompt parts of a request.
+PromptKeys promptKeys(const PlanRequest &request);
 
 /// @brief Estimates the cost of running a request at an engine.
-/// @param key placementKey() of the request
+/// @param keys promptKeys() of the request
 /// @param engine state of the engine
 /// @param upstream upstream that the engine runs at
 /// @param capacity capacity of the engine
 /// @param inputs sizes of the stage results that the engine has to fetch
 EngineCost computeEngineCost(const Engine &engine, const Upstream &upstream,
                              const EngineCapacity &capacity, const PlanRequest &request,
-                             std::uint64_t key, const InputBytes &inputs, Instant now);
+                             const PromptKeys &keys, const InputBytes &inputs, Instant now);
 
 /// @brief Records that a request runs at an engine, whose cache then holds its prompt parts.
 /// @param cost cost of the request at this engine before the run was added
--- a/packages/decision/src/scheduler/engine_cost.cpp
+++ b/packages/decision/src/scheduler/engine_cost.cpp
@@ -27,14 +27,15 @@
 }
 
 // Returns the number of prompt tokens after the longest cached prefix.
-std::uint32_t uncachedTokens(const Engine &engine, const PlanRequest &request, Instant now)
+std::uint32_t uncachedTokens(const Engine &engine, const PlanRequest &request,
+                             const PromptKeys &keys, Instant now)
 {
     std::uint32_t cached = 0;
-    for (const PromptPart &part : request.parts_) {
-        const auto found = engine.cachedParts_.find(part.id_);
+    for (std::size_t part = 0; part < request.parts_.size(); ++part) {
+        const auto found = engine.cachedParts_.find(keys.parts_[part]);
         if (found == engine.cachedParts_.end() || now - found->second > partLifetime)
             break;
-        cached += part.tokens_;
+        cached += request.parts_[part].tokens_;
     }
     return request.promptTokens_ - std::min(cached, request.promptTokens_);
 }
@@ -78,21 +79,24 @@
     return left.placementHash_ < right.placementHash_;
 }
 
-std::uint64_t placementKey(const PlanRequest &request)
+PromptKeys promptKeys(const PlanRequest &request)
 {
+    PromptKeys keys;
+    for (const PromptPart &part : request.parts_)
+        keys.parts_.push_back(contentDigest(part.id_));
     // The last part of a prompt counts as the request's own, so the one before it is used.
-    const std::size_t count = request.parts_.size();
-    if (count == 0)
-        return contentDigest(request.id_);
-    return contentDigest(request.parts_[count >= 2 ? count - 2 : 0].id_);
+    const std::size_t count = keys.parts_.size();
+    keys.placement_ =
+        count == 0 ? contentDigest(request.id_) : keys.parts_[count >= 2 ? count - 2 : 0];
+    return keys;
 }
 
 EngineCost computeEngineCost(const Engine &engine, const Upstream &upstream,
                              const EngineCapacity &capacity, const PlanRequest &request,
-                             std::uint64_t key, const InputBytes &inputs, Instant now)
+                             const PromptKeys &keys, const InputBytes &inputs, Instant now)
 {
     EngineCost cost;
-    cost.uncachedTokens_ = uncachedTokens(engine, request, now);
+    cost.uncachedTokens_ = uncachedTokens(engine, request, keys, now);
     const std::uint64_t pendingTokens = engine.pendingPrefillTokens_;
     const std::uint64_t cacheTokens =
         engine.cacheTokens_ + request.promptTokens_ + request.outputTokens_;
@@ -104,7 +108,7 @@
     }
     cost.prefillTime_ = prefillTime(pendingTokens + cost.uncachedTokens_);
     const double megabytes = static_cast<double>(cost.crossDataCenterBytes_) / bytesPerMb;
-    cost.placementHash_ = placementHash(key, upstream);
+    cost.placementHash_ = placementHash(keys.placement_, upstream);
     cost.total_ = prefillTime(pendingTokens) + prefillTime(cost.uncachedTokens_) * prefillCostFactor
         + costPerRun * static_cast<std::int64_t>(engine.runs_.size())
         + nanoseconds(static_cast<std::int64_t>(megabytes * transferPenaltyPerMb.count()));
@@ -120,7 +124,7 @@
     engine.cacheTokens_ += run.cacheTokens_;
     engine.pendingPrefillTokens_ += run.uncachedTokens_;
     for (const PromptPart &part : request.parts_)
-        engine.cachedParts_[part.id_] = now;
+        engine.cachedParts_[contentDigest(part.id_)] = now;
     removeExpiredParts(engine, now);
 }
 
--- a/packages/decision/src/scheduler/scheduler.cpp
+++ b/packages/decision/src/scheduler/scheduler.cpp
@@ -126,13 +126,13 @@
         refuse(state, now, id, unavailableRetryAfter, "no_upstream", "", effects);
         return;
     }
-    EngineCost cost;
+    if (!hasStarted(job) && refuseIfLate(state, now, id, job, effects))
+        return;
+    EngineCost cost; // not computed for refused requests, of which there are many in a burst
     if (const Upstream *engine = chooseEngine(state, job, now, cost))
         job.targetDataCenter_ = engine->dataCenter_;
     job.timeToFirstToken_ =
         cost.prefillTime_ + meanPlusDeviation(state.prefillOverruns_[request.pool_]);
-    if (!hasStarted(job) && refuseIfLate(state, now, id, job, effects))
-        return;
     if (!tryGrant(state, now, id, job, effects))
         requestDispatchOf(state, job, now);
     dispatchCalls(state, now, effects);
--- a/packages/decision/src/scheduler/scheduler_grant.cpp
+++ b/packages/decision/src/scheduler/scheduler_grant.cpp
@@ -43,13 +43,13 @@
     const Upstream *chosen = nullptr;
     bool chosenAvoided = true;
     static const Engine emptyEngine; // for engines that have not been used yet
-    const std::uint64_t key = placementKey(job.request_);
+    const PromptKeys keys = promptKeys(job.request_);
     for (const Upstream *upstream : pool->second) {
         const std::string &name = upstream->name_;
         const auto known = state.engines_.find(name);
         const Engine &engine = known == state.engines_.end() ? emptyEngine : known->second;
         const EngineCost cost =
-            computeEngineCost(engine, *upstream, *spec->engine_, job.request_, key, inputs, now);
+            computeEngineCost(engine, *upstream, *spec->engine_, job.request_, keys, inputs, now);
         if (cost.atCapacity_)
             continue;
         const auto &avoid = job.request_.avoid_;
--- a/packages/decision/tests/unit-scheduler.cpp
+++ b/packages/decision/tests/unit-scheduler.cpp
@@ -694,21 +694,21 @@
     PlanRequest again = promptOf("s");
     again.id_ = "again";
     const EngineCost warmCost =
-        computeEngineCost(warm, left, capacity, again, placementKey(again), {}, now);
+        computeEngineCost(warm, left, capacity, again, promptKeys(again), {}, now);
     const EngineCost coldCost =
-        computeEngineCost(cold, right, capacity, again, placementKey(again), {}, now);
+        computeEngineCost(cold, right, capacity, again, promptKeys(again), {}, now);
     BOOST_TEST(warmCost.uncachedTokens_ < coldCost.uncachedTokens_);
     BOOST_TEST(isPreferred(warmCost, coldCost));
     // Prompt parts that have not been used for a long time count as evicted.
     const EngineCost stale =
-        computeEngineCost(warm, left, capacity, again, placementKey(again), {}, now + seconds(60));
+        computeEngineCost(warm, left, capacity, again, promptKeys(again), {}, now + seconds(60));
     BOOST_TEST(stale.uncachedTokens_ == coldCost.uncachedTokens_);
     for (int i = 0; i < 64; ++i) {
         PlanRequest other = promptOf("o" + std::to_string(i));
         addRun(warm, other, EngineCost{3000}, now);
     }
     BOOST_TEST(
-        computeEngineCost(warm, left, capacity, again, placementKey(again), {}, now).atCapacity_);
+        computeEngineCost(warm, left, capacity, again, promptKeys(again), {}, now).atCapacity_);
 }
 
 BOOST_AUTO_TEST_CASE(engine_totals_match_its_runs)
@@ -747,7 +747,7 @@
                 upstream.name_ = name;
                 const EngineCost cost =
                     computeEngineCost(Engine{}, upstream, EngineCapacity{64, 400'000}, request,
-                                      placementKey(request), {}, Instant(seconds(9)));
+                                      promptKeys(request), {}, Instant(seconds(9)));
                 if (!best.empty() && !isPreferred(cost, bestCost))
                     continue;
                 best = name;
