Results of an upstream that is only missing from the view are not computed again

Cause: a stage upstream whose announcements are late by more than its lease, or which serves on after it has said that it leaves, is no longer listed; the scheduler dropped its results at once and had them computed again elsewhere, while the upstream still held them (one of the operators' reports: a machine that was only silent had its work started again). Change: results are dropped if the upstream has started again, if another one is at its address, or if a call reports that they are gone. results_of_a_removed_upstream_are_recomputed checks the same outcome, and now also that the first stage is called again; results_of_a_silent_upstream_are_not_recomputed failed before (stage 0 was called again); results_of_a_replaced_upstream_are_recomputed_at_once is new.

--- a/packages/decision/src/scheduler/scheduler.cpp
+++ b/packages/decision/src/scheduler/scheduler.cpp
@@ -1,3 +1,4 @@
+#include "chervilspring/detail/control/fleet_state.hpp"
 #include "chervilspring/detail/scheduler/scheduler_steps.hpp"
 
 #include <algorithm>
@@ -333,19 +334,33 @@
     dispatchCalls(state, now, effects);
 }
 
+// Whether the view shows that a previously listed upstream has ended: it has started again, or
+// another one is listed at its address. One that is merely missing may only be late with its
+// announcements, or still be serving before it leaves: its results are used until a call reports
+// that they are gone.
+bool hasEnded(const SchedulerState &state, const Upstream &previous)
+{
+    if (const Upstream *current = findUpstream(state, previous.name_))
+        return current->agentBoot_ != previous.agentBoot_;
+    const auto &upstreams = state.view_->upstreams_;
+    return std::any_of(upstreams.begin(), upstreams.end(),
+                       [&](const Upstream &other) { return sameAddress(other, previous); });
+}
+
 void onView(SchedulerState &state, Instant now, const ViewPointer &view, SchedulerEffects &effects)
 {
     const ViewPointer previousView = std::exchange(state.view_, view);
     for (const Upstream &upstream : previousView->upstreams_) {
-        if (!findUpstream(state, upstream.name_))
-            invalidateResultsOf(state, upstream.name_, "gone", effects);
+        if (hasEnded(state, upstream))
+            invalidateResultsOf(state, upstream.name_, "upstream_ended", effects);
     }
     for (auto &[id, job] : state.jobs_)
         estimateStageTimes(job, view->fleet_);
     state.upstreamsByPool_ = poolMembers(*view);
     const auto known = [&](const std::string &name) { return findByName(view->upstreams_, name); };
-    std::erase_if(state.stageUpstreams_,
-                  [&](const auto &item) { return item.second.call_ == 0 && !known(item.first); });
+    std::erase_if(state.stageUpstreams_, [&](const auto &item) {
+        return item.second.call_ == 0 && knownBytes(item.second, now) == 0 && !known(item.first);
+    });
     std::erase_if(state.engines_, [&](const auto &item) {
         return item.second.runs_.empty() && !known(item.first);
     });
--- a/packages/decision/tests/stage_model.hpp
+++ b/packages/decision/tests/stage_model.hpp
@@ -248,6 +248,22 @@
             handle(i, SchedulerView{view_});
     }
 
+    /// @brief Replaces an upstream by another one of the same pool at the same address.
+    void renameUpstream(const std::string &name, const std::string &newName)
+    {
+        auto view = std::make_shared<View>(*view_);
+        ++view->version_;
+        for (Upstream &upstream : view->upstreams_) {
+            if (upstream.name_ == name)
+                upstream.name_ = newName;
+        }
+        std::sort(view->upstreams_.begin(), view->upstreams_.end(),
+                  [](const Upstream &a, const Upstream &b) { return a.name_ < b.name_; });
+        view_ = view;
+        for (int i = 0; i < settings_.schedulers_; ++i)
+            handle(i, SchedulerView{view_});
+    }
+
     /// @brief Publishes a view with the quarantines that schedulers have stored.
     void publishQuarantines()
     {
@@ -291,7 +307,7 @@
         item.dataCenter_ = "dc" + std::to_string(number % 2);
         item.phase_ = UpstreamPhase::Serving;
         item.direct_ = true;
-        item.agentAddress_ = "10.0.0." + std::to_string(number);
+        item.agentAddress_ = "10.0." + std::to_string(pool.size()) + "." + std::to_string(number);
         item.agentPort_ = 80;
         item.labels_ = {Label{"service", pool}};
         return item;
--- a/packages/decision/tests/unit-scheduler.cpp
+++ b/packages/decision/tests/unit-scheduler.cpp
@@ -240,6 +240,7 @@
     BOOST_TEST(model.calls_[3].upstream_.name_ == "second-1");
 }
 
+// The results of an upstream that is no longer listed are recomputed once they turn out to be gone.
 BOOST_AUTO_TEST_CASE(results_of_a_removed_upstream_are_recomputed)
 {
     StageModelSettings settings;
@@ -251,10 +252,48 @@
     model.removeUpstream(model.calls_[0].upstream_.name_);
     model.endCall(0, model.calls_[1], StageCallEnd::Done,
                   {StageItemResult{{}, ItemFailure::InputGone}});
+    BOOST_REQUIRE(model.calls_.size() == 3u);
+    BOOST_TEST(model.calls_[2].items_[0].stage_ == 0u);
     model.advance(seconds(3));
     BOOST_TEST(model.grants_.contains(id));
 }
 
+// An upstream that is only late with its announcements, or that serves on after it has said that it
+// leaves, still has its results: they were computed again elsewhere.
+BOOST_AUTO_TEST_CASE(results_of_a_silent_upstream_are_not_recomputed)
+{
+    StageModelSettings settings;
+    settings.stageUpstreams_ = 2;
+    StageModel model(settings);
+    const std::string id = model.submit(1, 1);
+    model.advance(milliseconds(230)); // the first stage is done, the second is running
+    BOOST_REQUIRE(model.calls_.size() == 2u);
+    model.removeUpstream(model.calls_[0].upstream_.name_);
+    model.endCall(0, model.calls_[1], StageCallEnd::Refused); // the second stage runs again
+    model.advance(seconds(2));
+    BOOST_TEST(model.grants_.contains(id));
+    for (std::size_t call = 2; call < model.calls_.size(); ++call)
+        BOOST_TEST(model.calls_[call].items_[0].stage_ == 1u);
+}
+
+// Another upstream at the same address means that the one before has ended, with its results.
+BOOST_AUTO_TEST_CASE(results_of_a_replaced_upstream_are_recomputed_at_once)
+{
+    StageModelSettings settings;
+    settings.stageUpstreams_ = 2;
+    StageModel model(settings);
+    const std::string id = model.submit(1, 1);
+    model.advance(milliseconds(230)); // the first stage is done, the second is running
+    BOOST_REQUIRE(model.calls_.size() == 2u);
+    model.renameUpstream(model.calls_[0].upstream_.name_, "first-9");
+    model.endCall(0, model.calls_[1], StageCallEnd::Refused);
+    model.advance(milliseconds(10));
+    BOOST_REQUIRE(model.calls_.size() == 3u);
+    BOOST_TEST(model.calls_[2].items_[0].stage_ == 0u);
+    model.advance(seconds(2));
+    BOOST_TEST(model.grants_.contains(id));
+}
+
 // A change of scheduler loses only the calls in progress, not the results obtained before.
 BOOST_AUTO_TEST_CASE(next_scheduler_continues_from_existing_results)
 {
