Frames that have arrived together take one read of the socket

Cause: each message between processes took two reads, and one more that found nothing; a scheduler of the large fleet gets over 2,000 messages a second, and each system call costs. Change: a connection keeps a buffer of what it has read. Test frames_are_found_in_any_parts: frames split anywhere and several at once, sizes up to the limit and beyond it.

--- a/packages/server/include/chervilspring/detail/net/frame.hpp
+++ b/packages/server/include/chervilspring/detail/net/frame.hpp
@@ -27,12 +27,21 @@
 /// @param payload at most maxFrameBytes
 std::string makeFrame(Instant now, const std::string &payload);
 
-/// @brief Reads one frame.
+/// @brief Bytes of a connection that were read, but not returned as frames yet.
+struct FrameBuffer
+{
+    std::string bytes_; ///< the unread frames start at offset_
+    std::size_t offset_ = 0; ///< number of bytes that belong to frames returned before
+};
+
+/// @brief Reads one frame. Frames that have arrived together take one read of the socket.
 /// @param socket the connection
+/// @param buffer the bytes read so far; the same for all frames of the connection
 /// @param limit largest accepted payload in bytes
 /// @return the frame
 /// @throws boost::system::system_error if the connection ends or the payload exceeds the limit
-boost::asio::awaitable<Frame> readFrame(boost::asio::ip::tcp::socket &socket, std::size_t limit);
+boost::asio::awaitable<Frame> readFrame(boost::asio::ip::tcp::socket &socket, FrameBuffer &buffer,
+                                        std::size_t limit);
 
 /// @brief Estimates the one-way delay of frames in order to detect delayed ones.
 ///
--- a/packages/server/src/peer_network.cpp
+++ b/packages/server/src/peer_network.cpp
@@ -78,6 +78,7 @@
     }
 
     tcp::socket socket_;
+    FrameBuffer received_; ///< read from socket_
     asio::steady_timer writerSignal_; ///< cancelled when there is a frame to write, or at closing
     PeerIdentity peer_; ///< identity that the peer proved in the handshake
     std::string expectedPeerName_; ///< name of the dialled peer; empty: an accepted connection
@@ -284,7 +285,7 @@
     Greeting sent{randomBytes(nonceBytes), self_};
     const std::string greeting = makeFrame(BootClock::now(), makeGreeting(sent.nonce_, self_));
     co_await asio::async_write(socket, asio::buffer(greeting), use_awaitable);
-    const Frame proof = co_await readFrame(socket, maxHandshakeFrameBytes);
+    const Frame proof = co_await readFrame(socket, connection->received_, maxHandshakeFrameBytes);
     const Greeting dialler =
         requireValid([&] { return checkProof(secret_, sent, proof.payload_); }, remote);
     const std::string confirmation =
@@ -299,13 +300,14 @@
 {
     tcp::socket &socket = connection->socket_;
     const std::string remote = remoteEndpointText(socket);
-    const Frame first = co_await readFrame(socket, maxHandshakeFrameBytes);
+    const Frame first = co_await readFrame(socket, connection->received_, maxHandshakeFrameBytes);
     const Greeting greeting = requireValid([&] { return parseGreeting(first.payload_); }, remote);
     const std::string nonce = randomBytes(nonceBytes);
     const std::string proof =
         makeFrame(BootClock::now(), makeProof(secret_, greeting, nonce, self_));
     co_await asio::async_write(socket, asio::buffer(proof), use_awaitable);
-    const Frame confirmation = co_await readFrame(socket, maxHandshakeFrameBytes);
+    const Frame confirmation =
+        co_await readFrame(socket, connection->received_, maxHandshakeFrameBytes);
     const std::string expected = makeConfirmation(secret_, nonce, greeting);
     const bool confirmed = equalInConstantTime(expected, confirmation.payload_);
     if (!confirmed || greeting.identity_.name_ != connection->expectedPeerName_) {
@@ -343,7 +345,7 @@
 asio::awaitable<void> PeerNetwork::readLoop(ConnectionPointer connection)
 {
     while (!connection->closed_) {
-        Frame frame = co_await readFrame(connection->socket_, maxFrameBytes);
+        Frame frame = co_await readFrame(connection->socket_, connection->received_, maxFrameBytes);
         const nanoseconds delay =
             connection->delayEstimator_->estimateDelay(frame.senderClock_, BootClock::now());
         if (delay > maxFrameDelay) {
--- a/packages/server/tests/unit-peer_network.cpp
+++ b/packages/server/tests/unit-peer_network.cpp
@@ -1,5 +1,6 @@
 // Tests detail/net/frame.hpp and peer_network.hpp: unresponsive connections, rejected handshakes,
 // delayed frames.
+#include "chervilspring/detail/net/frame.hpp"
 #include "chervilspring/detail/net/peer_network.hpp"
 
 #include <boost/asio/co_spawn.hpp>
@@ -241,4 +242,57 @@
     BOOST_TEST(runUntil(context, [&] { return !listener.received_.empty(); }));
 }
 
+// Returns the frames that a reader gets from bytes that are written in parts of a given size.
+std::vector<Frame> framesReadFrom(const std::string &bytes, std::size_t partBytes)
+{
+    asio::io_context context;
+    tcp::acceptor acceptor(context, {asio::ip::make_address("127.0.0.1"), 0});
+    tcp::socket writer(context);
+    writer.connect(acceptor.local_endpoint());
+    writer.set_option(tcp::no_delay(true));
+    tcp::socket reader = acceptor.accept();
+    std::vector<Frame> frames;
+    asio::co_spawn(
+        context,
+        [&]() -> asio::awaitable<void> {
+            for (std::size_t at = 0; at < bytes.size(); at += partBytes)
+                co_await asio::async_write(writer, asio::buffer(bytes.substr(at, partBytes)),
+                                           asio::use_awaitable);
+            writer.close();
+        },
+        asio::detached);
+    asio::co_spawn(
+        context,
+        [&]() -> asio::awaitable<void> {
+            FrameBuffer buffer;
+            try {
+                while (true)
+                    frames.push_back(co_await readFrame(reader, buffer, 100'000));
+            } catch (const boost::system::system_error &) {
+                // the connection has ended, or a frame is too long
+            }
+        },
+        asio::detached);
+    context.run();
+    return frames;
+}
+
+// Frames arrive in parts that end anywhere, and several frames arrive in one part.
+BOOST_DATA_TEST_CASE(frames_are_found_in_any_parts,
+                     boost::unit_test::data::make({1, 7, 12, 13, 4096, 1'000'000}), partBytes)
+{
+    std::vector<std::string> payloads{
+        "", "a", std::string(5000, 'b'), "c", std::string(90'000, 'd'), "e"};
+    std::string bytes;
+    for (std::size_t i = 0; i < payloads.size(); ++i)
+        bytes += makeFrame(Instant(seconds(i)), payloads[i]);
+    bytes += makeFrame(Instant(seconds(9)), std::string(100'001, 'f')); // longer than the limit
+    const auto frames = framesReadFrom(bytes, static_cast<std::size_t>(partBytes));
+    BOOST_REQUIRE(frames.size() == payloads.size());
+    for (std::size_t i = 0; i < payloads.size(); ++i) {
+        BOOST_TEST(frames[i].payload_ == payloads[i]);
+        BOOST_TEST((frames[i].senderClock_ == seconds(i)));
+    }
+}
+
 } // namespace
