Limits of retries may be fractions in the settings

Change: [retries] slack and window take fractions; the slack is rounded down. Test retry_limits_may_be_fractions; its rows with a fraction were refused before. [node] grace is still made by appending zeros and takes whole seconds only.

--- a/packages/core/include/chervilspring/settings.hpp
+++ b/packages/core/include/chervilspring/settings.hpp
@@ -106,7 +106,7 @@
     milliseconds grace_{0}; ///< time between the stop signal and the kill
     double retryRatio_ = 0; ///< retries allowed for each request, fleet-wide
     std::uint32_t retrySlack_ = 0; ///< additional retries allowed in each window, fleet-wide
-    seconds retryWindow_{0}; ///< window in which requests and retries are counted
+    milliseconds retryWindow_{0}; ///< window in which requests and retries are counted
 };
 
 /// @brief Returns the port on which the schedulers of control processes listen for entries.
--- a/packages/core/src/settings.cpp
+++ b/packages/core/src/settings.cpp
@@ -6,6 +6,7 @@
 
 #include <algorithm>
 #include <charconv>
+#include <cmath>
 #include <fstream>
 #include <sstream>
 
@@ -52,9 +53,9 @@
      "time between the stop signal and the kill"},
     {"retries", "ratio", SettingKind::Fraction, "", 0, 1, "0.2", "",
      "retries allowed for each request, fleet-wide"},
-    {"retries", "slack", SettingKind::Number, "", 0, 1000000, "0", "",
-     "additional retries allowed in each window, fleet-wide"},
-    {"retries", "window", SettingKind::Number, "s", 1, 600, "10", "",
+    {"retries", "slack", SettingKind::Fraction, "", 0, 1000000, "0", "",
+     "additional retries allowed in each window, fleet-wide; rounded down"},
+    {"retries", "window", SettingKind::Fraction, "s", 1, 600, "10", "",
      "window in which retries are counted"},
     {"node", "body_limit", SettingKind::Number, "bytes", 1024, 16777216, "1048576", "",
      "largest request body that is accepted"},
@@ -151,6 +152,8 @@
     return parseAddress(name + "@" + text, address);
 }
 
+constexpr double millisecondsPerSecond = 1000;
+
 bool parseFraction(const std::string &text, double &value)
 {
     const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), value);
@@ -322,8 +325,13 @@
     settings.firstStart_ = node.at("first_start") == "true";
     settings.grace_ = durationOf(node, "grace");
     parseFraction(retries.at("ratio"), settings.retryRatio_);
-    settings.retrySlack_ = numberOf<std::uint32_t>(retries, "slack");
-    settings.retryWindow_ = seconds(numberOf<std::int64_t>(retries, "window"));
+    double slack = 0;
+    parseFraction(retries.at("slack"), slack);
+    settings.retrySlack_ = static_cast<std::uint32_t>(slack);
+    double window = 0;
+    parseFraction(retries.at("window"), window);
+    settings.retryWindow_ =
+        milliseconds(static_cast<std::int64_t>(std::ceil(window * millisecondsPerSecond)));
     settings.bodyLimit_ = numberOf<std::size_t>(node, "body_limit");
     settings.readTimeout_ = durationOf(node, "read_timeout");
     settings.trafficThreads_ = numberOf<std::uint32_t>(node, "traffic_threads");
--- a/packages/core/tests/unit-settings.cpp
+++ b/packages/core/tests/unit-settings.cpp
@@ -97,6 +97,53 @@
     BOOST_TEST(!accepted);
 }
 
+struct FractionRow
+{
+    const char *text_; ///< keys of the section [retries]
+    bool accepted_;
+    std::uint32_t slack_ = 0;
+    milliseconds window_{0};
+};
+
+std::ostream &operator<<(std::ostream &stream, const FractionRow &row)
+{
+    return stream << row.text_;
+}
+
+// The platform states some numbers as fractions, which were refused: no process started.
+const FractionRow fractionTable[] = {
+    {"slack = 36.17647", true, 36, milliseconds(10'000)},
+    {"slack = 0.99", true, 0, milliseconds(10'000)},
+    {"slack = 1e3", true, 1000, milliseconds(10'000)},
+    {"slack = 1000000", true, 1'000'000, milliseconds(10'000)},
+    {"slack = 1000000.5", false},
+    {"slack = -0.5", false},
+    {"slack = nan", false},
+    {"slack = inf", false},
+    {"slack = 5x", false},
+    {"slack =", false},
+    {"window = 9.4", true, 0, milliseconds(9400)},
+    {"window = 600", true, 0, milliseconds(600'000)},
+    {"window = 600.001", false},
+    {"window = 0.5", false},
+};
+
+BOOST_DATA_TEST_CASE(retry_limits_may_be_fractions, boost::unit_test::data::make(fractionTable),
+                     row)
+{
+    const bool accepted = handleErrors(
+        [&]() -> leaf::result<void> {
+            BOOST_LEAF_AUTO(
+                settings,
+                parseSettings(validSettings + "[retries]\n" + row.text_ + "\n", "file.ini"));
+            BOOST_TEST(settings.retrySlack_ == row.slack_);
+            BOOST_TEST((settings.retryWindow_ == row.window_));
+            return {};
+        },
+        [](const Error &) {});
+    BOOST_TEST(accepted == row.accepted_);
+}
+
 BOOST_AUTO_TEST_CASE(valid_settings_are_accepted)
 {
     handleErrors(
