--- a/packages/decision/include/chervilspring/detail/scheduler/engine_cost.hpp
+++ b/packages/decision/include/chervilspring/detail/scheduler/engine_cost.hpp
@@ -75,10 +75,10 @@
 PromptKeys promptKeys(const PlanRequest &request);
 
 /// @brief Estimates the cost of running a request at an engine.
-/// @param keys promptKeys() of the request
 /// @param engine state of the engine
 /// @param upstream upstream that the engine runs at
 /// @param capacity capacity of the engine
+/// @param keys promptKeys() of the request
 /// @param inputs sizes of the stage results that the engine has to fetch
 EngineCost computeEngineCost(const Engine &engine, const Upstream &upstream,
                              const EngineCapacity &capacity, const PlanRequest &request,
