--- a/packages/core/src/settings.cpp
+++ b/packages/core/src/settings.cpp
@@ -6,7 +6,6 @@
 
 #include <algorithm>
 #include <charconv>
-#include <cmath>
 #include <fstream>
 #include <sstream>
 
@@ -152,8 +151,6 @@
     return parseAddress(name + "@" + text, address);
 }
 
-constexpr double millisecondsPerSecond = 1000;
-
 bool parseFraction(const std::string &text, double &value)
 {
     const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), value);
@@ -328,10 +325,10 @@
     double slack = 0;
     parseFraction(retries.at("slack"), slack);
     settings.retrySlack_ = static_cast<std::uint32_t>(slack);
-    double window = 0;
-    parseFraction(retries.at("window"), window);
+    double windowSeconds = 0;
+    parseFraction(retries.at("window"), windowSeconds);
     settings.retryWindow_ =
-        milliseconds(static_cast<std::int64_t>(std::ceil(window * millisecondsPerSecond)));
+        std::chrono::ceil<milliseconds>(std::chrono::duration<double>(windowSeconds));
     settings.bodyLimit_ = numberOf<std::size_t>(node, "body_limit");
     settings.readTimeout_ = durationOf(node, "read_timeout");
     settings.trafficThreads_ = numberOf<std::uint32_t>(node, "traffic_threads");
--- a/packages/server/include/chervilspring/detail/net/peer_network.hpp
+++ b/packages/server/include/chervilspring/detail/net/peer_network.hpp
@@ -122,7 +122,7 @@
     void onPing(const ConnectionPointer &connection, const Ping &ping);
     void enqueue(const ConnectionPointer &connection, const Message &message);
     void enqueueEncoded(const ConnectionPointer &connection, const std::string &payload,
-                        bool carriesWork);
+                        bool isWork);
     void registerConnection(const ConnectionPointer &connection);
     void closeConnection(const ConnectionPointer &connection);
     void pingIfDue(const ConnectionPointer &connection, Instant now);
--- a/packages/server/src/frame.cpp
+++ b/packages/server/src/frame.cpp
@@ -14,7 +14,6 @@
 
 constexpr std::size_t headerBytes = sizeof(std::uint32_t) + sizeof(std::int64_t);
 constexpr std::int64_t clockDriftDivisor = 5000; // tolerates a drift of 200 ppm
-
 constexpr std::size_t readBytes = 4096; // read from a socket at once
 constexpr std::size_t maxKeptBytes = 65536; // a larger buffer is given back once it is empty
 
--- a/packages/server/src/peer_network.cpp
+++ b/packages/server/src/peer_network.cpp
@@ -399,11 +399,11 @@
 }
 
 void PeerNetwork::enqueueEncoded(const ConnectionPointer &connection, const std::string &payload,
-                                 bool carriesWork)
+                                 bool isWork)
 {
     const Instant now = BootClock::now();
     std::string frame = makeFrame(now, payload);
-    if (carriesWork)
+    if (isWork)
         connection->lastWorkAt_ = now;
     ++traffic_.messagesSent_;
     traffic_.bytesSent_ += frame.size();
