Scheduler: an arrival no longer looks at all requests in planning

Callers of a large fleet were refused or left, blend-notes first (SHORT): the leader's scheduler fell behind, and the longer its backlog, the longer each of its events took.

Cause: backlogAhead and collectReadyStages searched all planned requests, at each arrival and at each end of a call.

The waiting pieces by pool are now an index that events update: sums for the backlog, a map of ready stages.

--- a/packages/decision/include/chervilspring/detail/scheduler/piece_plan.hpp
+++ b/packages/decision/include/chervilspring/detail/scheduler/piece_plan.hpp
@@ -9,6 +9,7 @@
 #include "chervilspring/messages.hpp"
 
 #include <map>
+#include <memory>
 
 namespace chervilspring {
 
@@ -57,6 +58,23 @@
     nanoseconds criticalPathTime_{0};
 };
 
+/// @brief Waiting pieces of a stage as the work index holds them, see updateWork().
+struct IndexedStage
+{
+    std::uint32_t stage_ = 0; ///< index of the stage within the route
+    std::size_t waitingPieces_ = 0;
+    bool ready_ = false; ///< the inputs of the stage are ready
+};
+
+/// @brief What the work index holds of a request.
+struct IndexedWork
+{
+    std::uint32_t rank_ = 0; ///< see priorityRank()
+    bool started_ = false; ///< see hasStarted()
+    Instant onTimeUntil_{}; ///< latest time at which canMeetObjective() holds
+    std::vector<IndexedStage> stages_; ///< stages with waiting pieces
+};
+
 /// @brief A request whose stages are being processed or that runs at a model engine.
 struct Job
 {
@@ -74,6 +92,7 @@
     Instant grantedAt_{}; ///< when the request was last assigned to an engine; Instant{}: never
     bool firstTokenSent_ = false; ///< the latest run of the request got its first token
     bool trial_ = false; ///< quarantined, but admitted as a trial
+    IndexedWork indexed_; ///< only changed by updateWork() and removeWork()
 };
 
 /// @brief One item of a call to a stage upstream.
@@ -151,6 +170,9 @@
 /// @brief Returns the time in which the unfinished stages complete on idle pools.
 nanoseconds remainingTime(const Job &job);
 
+/// @brief Input and output bytes of a stage by data centre.
+using TransferBytes = std::map<std::string, std::uint64_t>;
+
 /// @brief Waiting pieces of one stage whose inputs are ready.
 struct ReadyStage
 {
@@ -159,10 +181,12 @@
     std::vector<std::uint32_t> pieces_; ///< indices of the waiting pieces
     bool missesObjective_ = false; ///< the request can no longer meet its objective
     std::uint32_t priorityRank_ = 0; ///< see priorityRank()
+    Instant latestStartOnTime_{}; ///< latest start that meets the objective
+    Instant latestStartAtAll_{}; ///< latest start that meets the start deadline
     Instant latestStart_{}; ///< latest start that meets the objective; if missed, start deadline
     Instant effectiveLatestStart_{}; ///< see penalizeTransfers()
     std::uint64_t resultBytes_ = 0; ///< size of the result of one piece
-    std::map<std::string, std::uint64_t> transferBytes_; ///< input and output bytes by data centre
+    std::shared_ptr<const TransferBytes> transferBytes_; ///< null: none
 };
 
 /// @brief A piece selected for a call.
@@ -186,10 +210,6 @@
 /// then by priority rank, then by effective latest start.
 bool isScheduledBefore(const ReadyStage &left, const ReadyStage &right);
 
-/// @brief Returns the ready stages of a pool, in no particular order.
-std::vector<ReadyStage> collectReadyStages(const std::map<JobId, Job> &jobs,
-                                           const std::string &pool, Instant now);
-
 /// @brief Removes the pieces of the next call from the ready stages and returns them.
 ///
 /// A stage is only taken whole: if it is split over several calls, its first results occupy storage
@@ -223,19 +243,6 @@
 /// @return number of pieces that wait again
 std::size_t invalidateResults(Job &job, const std::string &upstream);
 
-/// @brief Pieces that a pool processes before those of a new request.
-struct Backlog
-{
-    std::size_t pieces_ = 0; ///< pieces of requests with a lower or an equal priorityRank()
-    std::size_t higherRankPieces_ = 0; ///< those of requests with a lower priorityRank()
-};
-
-/// @brief Counts the waiting pieces that are processed before those of a new request.
-/// @param job new request; its own pieces are not counted
-/// @return backlog by the name of each pool that the request needs
-std::map<std::string, Backlog> backlogAhead(const std::map<JobId, Job> &jobs, const Job &job,
-                                            Instant now);
-
 /// @brief Load of a pool caused by the pieces ahead of a request.
 struct PoolLoad
 {
--- a/packages/decision/include/chervilspring/detail/scheduler/scheduler.hpp
+++ b/packages/decision/include/chervilspring/detail/scheduler/scheduler.hpp
@@ -12,6 +12,7 @@
 #include "chervilspring/detail/scheduler/service_share.hpp"
 #include "chervilspring/detail/scheduler/stage_storage.hpp"
 #include "chervilspring/detail/scheduler/time_estimate.hpp"
+#include "chervilspring/detail/scheduler/work_index.hpp"
 #include "chervilspring/detail/upstream_notices.hpp"
 #include "chervilspring/events.hpp"
 
@@ -85,14 +86,15 @@
 
 /// @brief Complete state of a scheduler.
 ///
-/// Handling an event iterates over the requests that are being planned. Requests that run at an
-/// engine are many times more numerous and are therefore stored separately.
+/// Sweeps iterate over the requests that are being planned. Requests that run at an engine are many
+/// times more numerous and are therefore stored separately.
 struct SchedulerState
 {
     ViewPointer view_ = std::make_shared<const View>();
     /// Upstreams that accept new work, owned by view_, by pool name.
     std::map<std::string, std::vector<const Upstream *>> upstreamsByPool_;
     std::map<JobId, Job> jobs_; ///< requests that are being planned
+    WorkIndex work_; ///< waiting pieces of jobs_
     std::map<JobId, Job> granted_; ///< requests that were assigned to an engine
     std::map<std::string, StageUpstream> stageUpstreams_; ///< by upstream name
     NoticeTable notices_; ///< stage upstreams that leave or want no calls for a while
--- a/packages/decision/include/chervilspring/detail/scheduler/scheduler_steps.hpp
+++ b/packages/decision/include/chervilspring/detail/scheduler/scheduler_steps.hpp
@@ -21,6 +21,9 @@
 /// @brief Removes a request from the planned and the granted ones.
 void eraseJob(SchedulerState &state, const JobId &id);
 
+/// @brief Removes a planned request.
+void erasePlanned(SchedulerState &state, std::map<JobId, Job>::iterator planned);
+
 /// @brief Appends a decision line for a request to the effects.
 /// @param what value of the key "decision", followed by further key=value pairs
 void addDecisionLine(SchedulerEffects &effects, const Job &job, const std::string &what);
--- a/packages/decision/src/scheduler/piece_plan.cpp
+++ b/packages/decision/src/scheduler/piece_plan.cpp
@@ -13,20 +13,6 @@
 // Rates and slowdowns are quotients of call times, and a configuration may state a time of 0.
 constexpr nanoseconds shortestCallTime = milliseconds(1);
 
-// Returns the bytes of a stage's inputs by data centre of their producers. Each piece of the stage
-// reads all inputs.
-std::map<std::string, std::uint64_t> inputBytes(const Job &job, std::size_t stage)
-{
-    std::map<std::string, std::uint64_t> bytes;
-    for (const std::uint32_t predecessor : job.stages_[stage].predecessors_) {
-        for (const Piece &piece : job.stages_[predecessor].pieces_) {
-            if (!piece.dataCenter_.empty())
-                bytes[piece.dataCenter_] += job.stages_[predecessor].resultBytes_;
-        }
-    }
-    return bytes;
-}
-
 // Returns the expected duration of one call with the pieces of a stage, at most a full batch.
 // Pieces beyond a full batch are not counted. Returns 0 if there are no pieces or the capacity is
 // unknown.
@@ -181,7 +167,9 @@
 std::uint64_t crossDataCenterBytes(const ReadyStage &stage, const std::string &dataCenter)
 {
     std::uint64_t transferred = 0;
-    for (const auto &[otherDataCenter, bytes] : stage.transferBytes_)
+    if (!stage.transferBytes_)
+        return transferred;
+    for (const auto &[otherDataCenter, bytes] : *stage.transferBytes_)
         transferred += otherDataCenter == dataCenter ? 0 : bytes;
     return transferred;
 }
@@ -205,38 +193,6 @@
     return key(left) < key(right);
 }
 
-std::vector<ReadyStage> collectReadyStages(const std::map<JobId, Job> &jobs,
-                                           const std::string &pool, Instant now)
-{
-    std::vector<ReadyStage> ready;
-    for (const auto &[id, job] : jobs) {
-        for (std::size_t stage = 0; stage < job.stages_.size(); ++stage) {
-            const StageWork &work = job.stages_[stage];
-            if (work.pool_ != pool || !hasWaitingPieces(work) || !inputsReady(job, stage))
-                continue;
-            ReadyStage readyStage;
-            readyStage.pieces_.reserve(work.pieces_.size());
-            for (std::size_t piece = 0; piece < work.pieces_.size(); ++piece) {
-                if (work.pieces_[piece].state_ == PieceState::Waiting)
-                    readyStage.pieces_.push_back(static_cast<std::uint32_t>(piece));
-            }
-            readyStage.job_ = &id;
-            readyStage.stage_ = static_cast<std::uint32_t>(stage);
-            readyStage.missesObjective_ = now + work.criticalPathTime_ > stagesDueAt(job);
-            readyStage.priorityRank_ = priorityRank(job);
-            readyStage.latestStart_ =
-                (readyStage.missesObjective_ ? latestStagesEnd(job) : stagesDueAt(job))
-                - work.criticalPathTime_;
-            readyStage.resultBytes_ = work.resultBytes_;
-            readyStage.transferBytes_ = inputBytes(job, stage);
-            if (isFinalStage(job, stage) && !job.targetDataCenter_.empty())
-                readyStage.transferBytes_[job.targetDataCenter_] += work.resultBytes_;
-            ready.push_back(std::move(readyStage));
-        }
-    }
-    return ready;
-}
-
 std::vector<CallPiece> takeBatch(std::vector<ReadyStage> &ready, std::size_t batchSize,
                                  std::uint64_t availableBytes, std::uint64_t totalBytes)
 {
@@ -284,34 +240,6 @@
     return lost;
 }
 
-std::map<std::string, Backlog> backlogAhead(const std::map<JobId, Job> &jobs, const Job &job,
-                                            Instant now)
-{
-    std::map<std::string, Backlog> backlogs;
-    for (const StageWork &stage : job.stages_) {
-        if (!stage.pieces_.empty())
-            backlogs[stage.pool_];
-    }
-    for (const auto &[id, other] : jobs) {
-        if (&other == &job || priorityRank(other) > priorityRank(job))
-            continue;
-        if (!hasStarted(other) && !canMeetObjective(other, now))
-            continue; // it is scheduled after requests that can meet their objective
-        for (const StageWork &stage : other.stages_) {
-            const auto backlog = backlogs.find(stage.pool_);
-            if (backlog == backlogs.end())
-                continue;
-            const auto waiting = static_cast<std::size_t>(
-                std::count_if(stage.pieces_.begin(), stage.pieces_.end(),
-                              [](const Piece &p) { return p.state_ == PieceState::Waiting; }));
-            backlog->second.pieces_ += waiting;
-            if (priorityRank(other) < priorityRank(job))
-                backlog->second.higherRankPieces_ += waiting;
-        }
-    }
-    return backlogs;
-}
-
 nanoseconds estimateCompletionTime(const Job &job, const Fleet &fleet,
                                    const std::map<std::string, PoolLoad> &loads)
 {
--- a/packages/decision/src/scheduler/scheduler.cpp
+++ b/packages/decision/src/scheduler/scheduler.cpp
@@ -120,6 +120,7 @@
     if (known) {
         if (state.granted_.contains(id))
             state.jobs_.insert(state.granted_.extract(id));
+        removeWork(state.work_, id, state.jobs_.at(id));
         replan(state, now, state.jobs_.at(id), request, effects);
     } else {
         if (request.round_ > 1)
@@ -145,8 +146,10 @@
         job.targetDataCenter_ = engine->dataCenter_;
     job.timeToFirstToken_ =
         cost.prefillTime_ + meanPlusDeviation(state.prefillOverruns_[request.pool_]);
-    if (!tryGrant(state, now, id, job, effects))
+    if (!tryGrant(state, now, id, job, effects)) {
+        updateWork(state.work_, state.jobs_.find(id)->first, job);
         requestDispatchOf(state, job, now);
+    }
     dispatchCalls(state, now, effects);
 }
 
@@ -286,6 +289,7 @@
         freeConsumedResults(state, now, job, effects);
         if (tryGrant(state, now, id, job, effects))
             continue;
+        updateWork(state.work_, found->first, job);
         requestDispatchOf(state, job, now);
         reportProgress(call, id, job, effects);
     }
@@ -369,6 +373,8 @@
     }
     for (auto &[id, job] : state.jobs_)
         estimateStageTimes(job, view->fleet_);
+    for (auto &[id, job] : state.jobs_)
+        updateWork(state.work_, id, job);
     state.upstreamsByPool_ = poolMembers(*view);
     const auto known = [&](const std::string &name) { return findByName(view->upstreams_, name); };
     std::erase_if(state.stageUpstreams_, [&](const auto &item) {
@@ -392,7 +398,7 @@
     for (const JobId &id : dropped) {
         addDecisionLine(effects, state.jobs_.at(id), "drop reason=entry_lost entry=" + peer);
         freeAllResults(state, now, state.jobs_.at(id), effects);
-        state.jobs_.erase(id);
+        erasePlanned(state, state.jobs_.find(id));
     }
 }
 
--- a/packages/decision/src/scheduler/scheduler_admission.cpp
+++ b/packages/decision/src/scheduler/scheduler_admission.cpp
@@ -46,10 +46,10 @@
 
 using Outlooks = std::map<std::string, PoolOutlook>; // by pool name
 
-Outlooks predictPoolLoads(const SchedulerState &state, const Job &job, Instant now)
+Outlooks predictPoolLoads(SchedulerState &state, const Job &job, Instant now)
 {
     Outlooks outlooks;
-    for (const auto &[pool, backlog] : backlogAhead(state.jobs_, job, now)) {
+    for (const auto &[pool, backlog] : backlogAhead(state.work_, job, now)) {
         const PieceCapacity *capacity = pieceCapacity(state, pool);
         const auto upstreams = state.upstreamsByPool_.find(pool);
         if (!capacity || upstreams == state.upstreamsByPool_.end() || upstreams->second.empty())
@@ -90,7 +90,7 @@
     const char *refusalReason_ = nullptr; // reason for a refusal; nullptr: the request is admitted
 };
 
-Prediction predict(const SchedulerState &state, const Job &job, Instant now)
+Prediction predict(SchedulerState &state, const Job &job, Instant now)
 {
     Prediction prediction;
     prediction.outlooks_ = predictPoolLoads(state, job, now);
--- a/packages/decision/src/scheduler/scheduler_calls.cpp
+++ b/packages/decision/src/scheduler/scheduler_calls.cpp
@@ -105,6 +105,10 @@
         call.resultBytes_.push_back(piece.resultBytes_);
         stageUpstream.reservedBytes_ += piece.resultBytes_;
     }
+    for (const CallPiece &piece : pieces) {
+        const auto job = state.jobs_.find(piece.id_.job_);
+        updateWork(state.work_, job->first, job->second);
+    }
     stageUpstream.call_ = start.call_;
     effects.push_back(DecisionLine{
         "decision=stage_call call=" + std::to_string(start.call_) + " pool=" + pool + " upstream="
@@ -142,7 +146,7 @@
     if (idle.empty())
         return;
     ++state.dispatches_;
-    auto ready = collectReadyStages(state.jobs_, pool, now);
+    auto ready = collectReadyStages(state.work_, pool, now);
     while (!idle.empty() && !ready.empty()) {
         const Upstream *upstream = takeNearestUpstream(idle, ready);
         penalizeTransfers(ready, upstream->dataCenter_);
--- a/packages/decision/src/scheduler/scheduler_common.cpp
+++ b/packages/decision/src/scheduler/scheduler_common.cpp
@@ -30,10 +30,17 @@
 
 void eraseJob(SchedulerState &state, const JobId &id)
 {
-    state.jobs_.erase(id);
+    if (const auto planned = state.jobs_.find(id); planned != state.jobs_.end())
+        erasePlanned(state, planned);
     state.granted_.erase(id);
 }
 
+void erasePlanned(SchedulerState &state, std::map<JobId, Job>::iterator planned)
+{
+    removeWork(state.work_, planned->first, planned->second);
+    state.jobs_.erase(planned);
+}
+
 void addDecisionLine(SchedulerEffects &effects, const Job &job, const std::string &what)
 {
     effects.push_back(DecisionLine{"decision=" + what + " request=" + job.request_.id_
@@ -53,7 +60,7 @@
     effects.push_back(SendToPeer{
         id.entry_, PlanRefusal{job.request_.id_, job.request_.round_, retryAfter, reason, detail}});
     freeAllResults(state, now, job, effects);
-    state.jobs_.erase(found);
+    erasePlanned(state, found);
 }
 
 } // namespace chervilspring::scheduling
--- a/packages/decision/src/scheduler/scheduler_grant.cpp
+++ b/packages/decision/src/scheduler/scheduler_grant.cpp
@@ -99,6 +99,7 @@
     effects.push_back(SendToPeer{id.entry_,
                                  PlanGrant{job.request_.id_, job.request_.round_, upstream->name_,
                                            upstream->agentBoot_, finalHandles(job), job.trial_}});
+    removeWork(state.work_, id, job);
     state.granted_.insert(state.jobs_.extract(id)); // keeps the reference to the job valid
     return true;
 }
--- a/packages/decision/src/scheduler/scheduler_results.cpp
+++ b/packages/decision/src/scheduler/scheduler_results.cpp
@@ -105,6 +105,8 @@
             if (!stageDone(job.stages_[stage]))
                 recomputeFreedInputs(job, stage);
         }
+        if (lostOfJob > 0)
+            updateWork(state.work_, id, job);
         lostPieces += lostOfJob;
     }
     state.stageUpstreams_[upstream].heldResults_.clear();
--- a/packages/decision/tests/unit-scheduler.cpp
+++ b/packages/decision/tests/unit-scheduler.cpp
@@ -418,8 +418,11 @@
     patient.deadlineAt_ = patient.startDeadlineAt_ = now + seconds(5);
     impatient.deadlineAt_ = now + seconds(20);
     impatient.startDeadlineAt_ = now + seconds(2);
-    const std::map<JobId, Job> jobs{{{"e", "a"}, patient}, {{"e", "b"}, impatient}};
-    auto ready = collectReadyStages(jobs, "first", now);
+    std::map<JobId, Job> jobs{{{"e", "a"}, patient}, {{"e", "b"}, impatient}};
+    WorkIndex index;
+    for (auto &[id, job] : jobs)
+        updateWork(index, id, job);
+    auto ready = collectReadyStages(index, "first", now);
     BOOST_REQUIRE(ready.size() == 2u);
     penalizeTransfers(ready, "");
     std::sort(ready.begin(), ready.end(), isScheduledBefore);
