Scheduler: engines that can't be the cheapest are skipped

The choice of an engine computed the whole cost of 180 engines, twice for each request: a hash of the engine's name, a look-up of the engine by name, and look-ups of the prompt's parts in its cache.

The list of a pool's engines with their digests is kept until the next view. Full engines are skipped first, then those whose cost would be higher even with the whole prompt cached.

--- a/packages/decision/include/chervilspring/detail/scheduler/engine_cost.hpp
+++ b/packages/decision/include/chervilspring/detail/scheduler/engine_cost.hpp
@@ -74,13 +74,34 @@
 /// @brief Computes the digests of the prompt parts of a request.
 PromptKeys promptKeys(const PlanRequest &request);
 
+/// @brief What the cost of an engine depends on besides its state; the same for all requests.
+struct EnginePlace
+{
+    std::string dataCenter_;
+    std::uint64_t nameDigest_ = 0; ///< digest of the upstream's name
+};
+
+/// @brief Returns the place of the engine that runs at an upstream.
+EnginePlace placeOf(const Upstream &upstream);
+
+/// @brief Returns whether an engine has no free slot or not enough cache for a request.
+bool isAtCapacity(const Engine &engine, const EngineCapacity &capacity, const PlanRequest &request);
+
+/// @brief Returns the total cost that a request would have if the engine had its whole prompt
+/// cached.
+nanoseconds minimumCost(const Engine &engine, const EnginePlace &place, const InputBytes &inputs);
+
+/// @brief Returns whether an engine with a total cost of at least minimum can be preferred to one
+/// with the other cost.
+bool mayBePreferred(nanoseconds minimum, const EngineCost &other);
+
 /// @brief Estimates the cost of running a request at an engine.
 /// @param engine state of the engine
-/// @param upstream upstream that the engine runs at
+/// @param place place of the engine
 /// @param capacity capacity of the engine
 /// @param keys promptKeys() of the request
 /// @param inputs sizes of the stage results that the engine has to fetch
-EngineCost computeEngineCost(const Engine &engine, const Upstream &upstream,
+EngineCost computeEngineCost(const Engine &engine, const EnginePlace &place,
                              const EngineCapacity &capacity, const PlanRequest &request,
                              const PromptKeys &keys, const InputBytes &inputs, Instant now);
 
--- a/packages/decision/include/chervilspring/detail/scheduler/scheduler.hpp
+++ b/packages/decision/include/chervilspring/detail/scheduler/scheduler.hpp
@@ -84,6 +84,14 @@
     nanoseconds expectedTime_{0};
 };
 
+/// @brief A model engine that requests may be assigned to.
+struct EngineCandidate
+{
+    const Upstream *upstream_ = nullptr; ///< owned by SchedulerState::view_
+    EnginePlace place_;
+    const Engine *engine_ = nullptr; ///< owned by SchedulerState::engines_
+};
+
 /// @brief Complete state of a scheduler.
 ///
 /// Sweeps iterate over the requests that are being planned. Requests that run at an engine are many
@@ -99,6 +107,8 @@
     std::map<std::string, StageUpstream> stageUpstreams_; ///< by upstream name
     NoticeTable notices_; ///< stage upstreams that leave or want no calls for a while
     EngineTable engines_;
+    /// Engines by pool name; a pool that is missing here has not been needed since the last view.
+    std::map<std::string, std::vector<EngineCandidate>> candidates_;
     std::map<std::string, TimeEstimate> timesToFirstToken_; ///< since the grant, by route name
     /// Actual minus expected prefill time, by the pool of the engine.
     std::map<std::string, TimeEstimate> prefillOverruns_;
--- a/packages/decision/include/chervilspring/detail/scheduler/scheduler_steps.hpp
+++ b/packages/decision/include/chervilspring/detail/scheduler/scheduler_steps.hpp
@@ -61,7 +61,7 @@
 /// @brief Chooses the engine with the lowest cost; avoided engines only if there is no other.
 /// @param chosenCost receives the cost of the chosen engine; unchanged if there is none
 /// @return nullptr if no engine has a free slot and enough cache
-const Upstream *chooseEngine(const SchedulerState &state, const Job &job, Instant now,
+const Upstream *chooseEngine(SchedulerState &state, const Job &job, Instant now,
                              EngineCost &chosenCost);
 
 /// @brief Assigns a request to an engine if all of its stages are done.
--- a/packages/decision/src/scheduler/engine_cost.cpp
+++ b/packages/decision/src/scheduler/engine_cost.cpp
@@ -40,6 +40,14 @@
     return request.promptTokens_ - std::min(cached, request.promptTokens_);
 }
 
+std::uint64_t crossDataCenterBytes(const EnginePlace &place, const InputBytes &inputs)
+{
+    std::uint64_t crossing = 0;
+    for (const auto &[dataCenter, bytes] : inputs)
+        crossing += dataCenter == place.dataCenter_ ? 0 : bytes;
+    return crossing;
+}
+
 void removeExpiredParts(Engine &engine, Instant now)
 {
     if (engine.cachedParts_.size() <= maxCachedParts)
@@ -61,10 +69,10 @@
 
 // Rendezvous hash of a placement key and an engine. The hash is the same at every scheduler, so
 // that a new scheduler finds prompts in the cache where its predecessor placed them.
-std::uint64_t placementHash(std::uint64_t key, const Upstream &upstream)
+std::uint64_t placementHash(std::uint64_t key, const EnginePlace &place)
 {
     // Multiplication and shifts as in splitmix64 spread the combined bits.
-    std::uint64_t hash = key ^ contentDigest(upstream.name_);
+    std::uint64_t hash = key ^ place.nameDigest_;
     hash = (hash ^ (hash >> 30)) * 0xbf58476d1ce4e5b9u;
     hash = (hash ^ (hash >> 27)) * 0x94d049bb133111ebu;
     return hash ^ (hash >> 31);
@@ -72,6 +80,31 @@
 
 } // namespace
 
+EnginePlace placeOf(const Upstream &upstream)
+{
+    return EnginePlace{upstream.dataCenter_, contentDigest(upstream.name_)};
+}
+
+bool isAtCapacity(const Engine &engine, const EngineCapacity &capacity, const PlanRequest &request)
+{
+    const std::uint64_t cacheTokens =
+        engine.cacheTokens_ + request.promptTokens_ + request.outputTokens_;
+    return engine.runs_.size() >= capacity.slots_ || cacheTokens > capacity.cacheTokens_;
+}
+
+nanoseconds minimumCost(const Engine &engine, const EnginePlace &place, const InputBytes &inputs)
+{
+    const double megabytes = static_cast<double>(crossDataCenterBytes(place, inputs)) / bytesPerMb;
+    return prefillTime(engine.pendingPrefillTokens_)
+        + costPerRun * static_cast<std::int64_t>(engine.runs_.size())
+        + nanoseconds(static_cast<std::int64_t>(megabytes * transferPenaltyPerMb.count()));
+}
+
+bool mayBePreferred(nanoseconds minimum, const EngineCost &other)
+{
+    return minimum / costTolerance <= other.total_ / costTolerance;
+}
+
 bool isPreferred(const EngineCost &left, const EngineCost &right)
 {
     if (left.total_ / costTolerance != right.total_ / costTolerance)
@@ -91,27 +124,18 @@
     return keys;
 }
 
-EngineCost computeEngineCost(const Engine &engine, const Upstream &upstream,
+EngineCost computeEngineCost(const Engine &engine, const EnginePlace &place,
                              const EngineCapacity &capacity, const PlanRequest &request,
                              const PromptKeys &keys, const InputBytes &inputs, Instant now)
 {
     EngineCost cost;
     cost.uncachedTokens_ = uncachedTokens(engine, request, keys, now);
-    const std::uint64_t pendingTokens = engine.pendingPrefillTokens_;
-    const std::uint64_t cacheTokens =
-        engine.cacheTokens_ + request.promptTokens_ + request.outputTokens_;
-    cost.atCapacity_ =
-        engine.runs_.size() >= capacity.slots_ || cacheTokens > capacity.cacheTokens_;
-    for (const auto &[dataCenter, bytes] : inputs) {
-        if (dataCenter != upstream.dataCenter_)
-            cost.crossDataCenterBytes_ += bytes;
-    }
-    cost.prefillTime_ = prefillTime(pendingTokens + cost.uncachedTokens_);
-    const double megabytes = static_cast<double>(cost.crossDataCenterBytes_) / bytesPerMb;
-    cost.placementHash_ = placementHash(keys.placement_, upstream);
-    cost.total_ = prefillTime(pendingTokens) + prefillTime(cost.uncachedTokens_) * prefillCostFactor
-        + costPerRun * static_cast<std::int64_t>(engine.runs_.size())
-        + nanoseconds(static_cast<std::int64_t>(megabytes * transferPenaltyPerMb.count()));
+    cost.atCapacity_ = isAtCapacity(engine, capacity, request);
+    cost.crossDataCenterBytes_ = crossDataCenterBytes(place, inputs);
+    cost.prefillTime_ = prefillTime(engine.pendingPrefillTokens_ + cost.uncachedTokens_);
+    cost.placementHash_ = placementHash(keys.placement_, place);
+    cost.total_ =
+        minimumCost(engine, place, inputs) + prefillTime(cost.uncachedTokens_) * prefillCostFactor;
     return cost;
 }
 
--- a/packages/decision/src/scheduler/scheduler.cpp
+++ b/packages/decision/src/scheduler/scheduler.cpp
@@ -380,6 +380,7 @@
     std::erase_if(state.stageUpstreams_, [&](const auto &item) {
         return item.second.call_ == 0 && knownBytes(item.second, now) == 0 && !known(item.first);
     });
+    state.candidates_.clear();
     std::erase_if(state.engines_, [&](const auto &item) {
         return item.second.runs_.empty() && !known(item.first);
     });
--- a/packages/decision/src/scheduler/scheduler_grant.cpp
+++ b/packages/decision/src/scheduler/scheduler_grant.cpp
@@ -37,35 +37,53 @@
     job.engine_.clear();
 }
 
-const Upstream *chooseEngine(const SchedulerState &state, const Job &job, Instant now,
+namespace {
+
+// Returns the engines of a pool; with a new view the list is made anew.
+const std::vector<EngineCandidate> &engineCandidates(SchedulerState &state, const std::string &pool)
+{
+    const auto [known, isNew] = state.candidates_.try_emplace(pool);
+    const auto upstreams = state.upstreamsByPool_.find(pool);
+    if (!isNew || upstreams == state.upstreamsByPool_.end())
+        return known->second;
+    for (const Upstream *upstream : upstreams->second)
+        known->second.push_back(
+            EngineCandidate{upstream, placeOf(*upstream), &state.engines_[upstream->name_]});
+    return known->second;
+}
+
+} // namespace
+
+const Upstream *chooseEngine(SchedulerState &state, const Job &job, Instant now,
                              EngineCost &chosenCost)
 {
-    const auto pool = state.upstreamsByPool_.find(job.request_.pool_);
     const Pool *spec = findByName(state.view_->fleet_.pools_, job.request_.pool_);
-    if (pool == state.upstreamsByPool_.end() || !spec)
+    if (!spec)
         return nullptr;
     const EngineCapacity capacity = spec->engine_.value_or(unlimitedCapacity);
     const InputBytes inputs = inputBytes(state, job);
     const Upstream *chosen = nullptr;
     bool chosenAvoided = true;
-    static const Engine emptyEngine; // for engines that have not been used yet
     const PromptKeys keys = promptKeys(job.request_);
-    for (const Upstream *upstream : pool->second) {
-        const std::string &name = upstream->name_;
-        const auto known = state.engines_.find(name);
-        const Engine &engine = known == state.engines_.end() ? emptyEngine : known->second;
-        const EngineCost cost =
-            computeEngineCost(engine, *upstream, capacity, job.request_, keys, inputs, now);
-        if (cost.atCapacity_)
+    const auto &avoid = job.request_.avoid_;
+    for (const EngineCandidate &candidate : engineCandidates(state, job.request_.pool_)) {
+        const Engine &engine = *candidate.engine_;
+        if (isAtCapacity(engine, capacity, job.request_))
             continue;
-        const auto &avoid = job.request_.avoid_;
         const bool avoided = isAvoided(engine.avoidance_, now)
-            || std::find(avoid.begin(), avoid.end(), name) != avoid.end();
-        const bool better = !chosen || (chosenAvoided && !avoided)
-            || (chosenAvoided == avoided && isPreferred(cost, chosenCost));
-        if (!better)
+            || std::find(avoid.begin(), avoid.end(), candidate.upstream_->name_) != avoid.end();
+        if (chosen && avoided && !chosenAvoided)
+            continue;
+        // The cache is looked at last, as that takes the longest.
+        const bool comparable = chosen && avoided == chosenAvoided;
+        if (comparable
+            && !mayBePreferred(minimumCost(engine, candidate.place_, inputs), chosenCost))
+            continue;
+        const EngineCost cost =
+            computeEngineCost(engine, candidate.place_, capacity, job.request_, keys, inputs, now);
+        if (comparable && !isPreferred(cost, chosenCost))
             continue;
-        chosen = upstream;
+        chosen = candidate.upstream_;
         chosenAvoided = avoided;
         chosenCost = cost;
     }
--- a/packages/decision/tests/unit-scheduler.cpp
+++ b/packages/decision/tests/unit-scheduler.cpp
@@ -1,5 +1,6 @@
 // Tests detail/scheduler/*.hpp: batching across requests, inputs, refusals, lost upstreams, changes
 // of scheduler and the choice of engines.
+#include "chervilspring/detail/scheduler/scheduler_steps.hpp"
 #include "stage_model.hpp"
 
 #include <boost/test/data/monomorphic.hpp>
@@ -736,21 +737,67 @@
     PlanRequest again = promptOf("s");
     again.id_ = "again";
     const EngineCost warmCost =
-        computeEngineCost(warm, left, capacity, again, promptKeys(again), {}, now);
+        computeEngineCost(warm, placeOf(left), capacity, again, promptKeys(again), {}, now);
     const EngineCost coldCost =
-        computeEngineCost(cold, right, capacity, again, promptKeys(again), {}, now);
+        computeEngineCost(cold, placeOf(right), capacity, again, promptKeys(again), {}, now);
     BOOST_TEST(warmCost.uncachedTokens_ < coldCost.uncachedTokens_);
     BOOST_TEST(isPreferred(warmCost, coldCost));
     // Prompt parts that have not been used for a long time count as evicted.
-    const EngineCost stale =
-        computeEngineCost(warm, left, capacity, again, promptKeys(again), {}, now + seconds(60));
+    const EngineCost stale = computeEngineCost(warm, placeOf(left), capacity, again,
+                                               promptKeys(again), {}, now + seconds(60));
     BOOST_TEST(stale.uncachedTokens_ == coldCost.uncachedTokens_);
     for (int i = 0; i < 64; ++i) {
         PlanRequest other = promptOf("o" + std::to_string(i));
         addRun(warm, other, EngineCost{3000}, now);
     }
-    BOOST_TEST(
-        computeEngineCost(warm, left, capacity, again, promptKeys(again), {}, now).atCapacity_);
+    BOOST_TEST(computeEngineCost(warm, placeOf(left), capacity, again, promptKeys(again), {}, now)
+                   .atCapacity_);
+}
+
+// Returns the name of the cheapest engine after looking at the whole state of each.
+std::string cheapestEngine(const SchedulerState &state, const Job &job, Instant now)
+{
+    const Upstream *best = nullptr;
+    EngineCost bestCost;
+    const EngineCapacity capacity = *findByName(state.view_->fleet_.pools_, "engine")->engine_;
+    for (const Upstream *upstream : state.upstreamsByPool_.at("engine")) {
+        const EngineCost cost =
+            computeEngineCost(state.engines_.at(upstream->name_), placeOf(*upstream), capacity,
+                              job.request_, promptKeys(job.request_), {}, now);
+        if (cost.atCapacity_ || (best && !isPreferred(cost, bestCost)))
+            continue;
+        best = upstream;
+        bestCost = cost;
+    }
+    return best ? best->name_ : "";
+}
+
+// Engines that can't be cheaper than the best one so far are skipped.
+BOOST_DATA_TEST_CASE(chosen_engine_is_the_cheapest_of_all, data::xrange(1, 21), seed)
+{
+    StageModelSettings settings;
+    settings.engines_ = 30;
+    StageModel model(settings);
+    SchedulerState &state = model.state();
+    std::mt19937_64 random(static_cast<std::uint64_t>(seed));
+    for (int i = 0; i < 400; ++i) {
+        Job job;
+        job.request_ = promptOf("s" + std::to_string(random() % 40));
+        job.request_.id_ = std::to_string(i);
+        job.request_.pool_ = "engine";
+        EngineCost cost;
+        const Upstream *chosen = scheduling::chooseEngine(state, job, model.now_, cost);
+        BOOST_TEST((chosen ? chosen->name_ : "") == cheapestEngine(state, job, model.now_));
+        if (!chosen)
+            continue;
+        Engine &engine = state.engines_.at(chosen->name_);
+        addRun(engine, job.request_, cost, model.now_);
+        if (random() % 3 != 0)
+            completePrefill(engine, job.request_.id_, model.now_);
+        if (random() % 2 != 0)
+            endRun(engine, job.request_.id_, false, model.now_);
+        model.now_ += milliseconds(random() % 200);
+    }
 }
 
 BOOST_AUTO_TEST_CASE(engine_totals_match_its_runs)
@@ -788,8 +835,8 @@
                 Upstream upstream;
                 upstream.name_ = name;
                 const EngineCost cost =
-                    computeEngineCost(Engine{}, upstream, EngineCapacity{64, 400'000}, request,
-                                      promptKeys(request), {}, Instant(seconds(9)));
+                    computeEngineCost(Engine{}, placeOf(upstream), EngineCapacity{64, 400'000},
+                                      request, promptKeys(request), {}, Instant(seconds(9)));
                 if (!best.empty() && !isPreferred(cost, bestCost))
                     continue;
                 best = name;
