Scheduler: results that are freed or still needed are not looked at again

It now asks only if the answer matters: the results are held, and their consumers have fetched them but aren't done.

--- a/packages/decision/src/scheduler/scheduler_results.cpp
+++ b/packages/decision/src/scheduler/scheduler_results.cpp
@@ -60,18 +60,22 @@
 
 void freeConsumedResults(SchedulerState &state, Instant now, Job &job, SchedulerEffects &effects)
 {
-    for (std::size_t stage = 0; stage < job.stages_.size(); ++stage) {
-        if (isFinalStage(job, stage) || !stageDone(job.stages_[stage]))
+    for (std::uint32_t stage = 0; stage < job.stages_.size(); ++stage) {
+        const StageWork &work = job.stages_[stage];
+        if (work.resultsFreed_ || isFinalStage(job, stage) || !stageDone(work))
             continue;
-        // Fetched results are only needed again if the call that fetched them fails.
-        const bool freeEarly = isShortOfStorage(state, job.stages_[stage], now);
-        const bool needed =
-            std::any_of(job.stages_.begin(), job.stages_.end(), [&](const StageWork &other) {
-                return std::find(other.predecessors_.begin(), other.predecessors_.end(), stage)
-                    != other.predecessors_.end()
-                    && !(freeEarly ? inputsFetched(other, now) : stageDone(other));
+        const auto all = [&](const auto &hasResults) {
+            return std::all_of(job.stages_.begin(), job.stages_.end(), [&](const StageWork &other) {
+                const auto &needed = other.predecessors_;
+                return std::find(needed.begin(), needed.end(), stage) == needed.end()
+                    || hasResults(other);
             });
-        if (!needed)
+        };
+        // Fetched results are only needed again if the call that fetched them fails.
+        const bool unneeded = all(stageDone)
+            || (all([&](const StageWork &other) { return inputsFetched(other, now); })
+                && isShortOfStorage(state, work, now));
+        if (unneeded)
             freeStage(state, now, job.stages_[stage], effects);
     }
 }
