Scheduler: its own lag counts in what it predicts for a request

Class of fault: admission control that leaves out the admitting process's own queue.

The thread measures how long an event waits in its queue, and the prediction adds a moving average of that for the arrival and for each stage. A request that would be late because of it is refused at its arrival, with the time until it wouldn't.

--- a/packages/decision/include/chervilspring/detail/scheduler/scheduler.hpp
+++ b/packages/decision/include/chervilspring/detail/scheduler/scheduler.hpp
@@ -37,7 +37,14 @@
     ViewPointer view_; ///< the new view; not null
 };
 
-using SchedulerEvent = std::variant<PeerMessage, PeerLost, StageCallEnded, SchedulerView, Wake>;
+/// @brief Event: measurement of how long events wait until the scheduler handles them.
+struct SchedulerLag
+{
+    nanoseconds lag_{0};
+};
+
+using SchedulerEvent =
+    std::variant<PeerMessage, PeerLost, StageCallEnded, SchedulerView, SchedulerLag, Wake>;
 
 /// @brief Effect: start a call to a stage upstream.
 struct StartStageCall
@@ -120,6 +127,7 @@
     /// looked at before the next sweep.
     std::map<std::string, Instant> dispatchDueAt_;
     std::uint64_t dispatches_ = 0; ///< how often a pool was searched for calls to start
+    nanoseconds lag_{0}; ///< moving average of the time that events wait until they are handled
     Instant nextSweepAt_{}; ///< when timeouts are next checked and grants retried
     Instant tookOverAt_{}; ///< when requests of another scheduler began to arrive; Instant{}: never
     Instant dispatchPausedUntil_{}; ///< no call is started before this time
--- a/packages/decision/src/scheduler/scheduler.cpp
+++ b/packages/decision/src/scheduler/scheduler.cpp
@@ -15,6 +15,7 @@
 constexpr std::uint32_t maxPieceFailures = 3; // failures of a piece before its request is refused
 constexpr double slowdownWeight = 0.3; // weight of the newest call in the moving average
 constexpr nanoseconds minRetryAfter = milliseconds(100);
+constexpr int lagSamples = 8; // the newest lag counts with one part in this number
 // Time after its deadline at which a granted request is dropped if its entry has not reported its
 // end.
 constexpr nanoseconds orphanTimeout = seconds(5);
@@ -454,6 +455,11 @@
     dispatchCalls(state, now, effects);
 }
 
+void onLag(SchedulerState &state, nanoseconds lag)
+{
+    state.lag_ += (lag - state.lag_) / lagSamples;
+}
+
 void onPeerMessage(SchedulerState &state, Instant now, const PeerMessage &event,
                    SchedulerEffects &effects)
 {
@@ -494,6 +500,7 @@
                        onView(state, now, e.view_, effects);
                        dispatchCalls(state, now, effects);
                    },
+                   [&](const SchedulerLag &e) { onLag(state, e.lag_); },
                    [&](const Wake &) { dispatchCalls(state, now, effects); },
                },
                event);
--- a/packages/decision/src/scheduler/scheduler_admission.cpp
+++ b/packages/decision/src/scheduler/scheduler_admission.cpp
@@ -85,11 +85,25 @@
 {
     Outlooks outlooks_;
     nanoseconds stageTime_{0}; // until all stages are done
+    nanoseconds handlingTime_{
+        0}; // that events of the request wait until the scheduler handles them
     nanoseconds timeToFirstToken_{0}; // from the end of the stages to the first token
     nanoseconds unloadedTime_{0}; // until the first token, without other requests
     const char *refusalReason_ = nullptr; // reason for a refusal; nullptr: the request is admitted
 };
 
+// Time until the first token.
+nanoseconds predictedTime(const Prediction &prediction)
+{
+    return prediction.stageTime_ + prediction.timeToFirstToken_ + prediction.handlingTime_;
+}
+
+std::int64_t stagesWithPieces(const Job &job)
+{
+    return std::count_if(job.stages_.begin(), job.stages_.end(),
+                         [](const StageWork &stage) { return !stage.pieces_.empty(); });
+}
+
 Prediction predict(SchedulerState &state, const Job &job, Instant now)
 {
     Prediction prediction;
@@ -101,7 +115,8 @@
     prediction.timeToFirstToken_ =
         known == state.timesToFirstToken_.end() ? nanoseconds(0) : meanTime(known->second);
     prediction.unloadedTime_ = remainingTime(job) + prediction.timeToFirstToken_;
-    const nanoseconds predicted = prediction.stageTime_ + prediction.timeToFirstToken_;
+    prediction.handlingTime_ = state.lag_ * (1 + stagesWithPieces(job));
+    const nanoseconds predicted = predictedTime(prediction);
     const nanoseconds untilDeadline = job.startDeadlineAt_ - now;
     const bool lateByQueueing = now + predicted > job.objectiveAt_
         && predicted - prediction.unloadedTime_ > toleratedQueueTime;
@@ -153,12 +168,13 @@
             countServed(state.serviceByPriority_, priority, now);
         return false;
     }
-    const nanoseconds predicted = prediction.stageTime_ + prediction.timeToFirstToken_;
+    const nanoseconds predicted = predictedTime(prediction);
     const nanoseconds retryAfter = std::max(minRetryAfter, predicted - prediction.unloadedTime_);
     refuse(state, now, id, retryAfter, prediction.refusalReason_,
            "predicted_ms=" + millisecondsText(predicted)
                + " alone_ms=" + millisecondsText(prediction.unloadedTime_)
                + " engine_ms=" + millisecondsText(prediction.timeToFirstToken_)
+               + " handling_ms=" + millisecondsText(prediction.handlingTime_)
                + " until_start_deadline_ms=" + millisecondsText(job.startDeadlineAt_ - now)
                + " waits=" + queueTimesText(prediction.outlooks_),
            effects);
--- a/packages/decision/tests/stage_model.hpp
+++ b/packages/decision/tests/stage_model.hpp
@@ -23,6 +23,8 @@
     milliseconds deadline_{6000}; ///< time from a request's arrival to its deadline
     /// Callers leave after this time unless their request was granted or refused; 0: they don't.
     milliseconds patience_{0};
+    /// Processor time of a scheduler for each event; events wait while it is busy.
+    microseconds eventTime_{0};
     std::uint64_t seed_ = 1; ///< seed of the arrivals and the numbers of pieces
 };
 
@@ -148,6 +150,7 @@
             now_ += milliseconds(5);
             finishCalls();
             leaveImpatient();
+            handleQueued();
             for (int i = 0; i < settings_.schedulers_; ++i) {
                 if (nextWake(states_[static_cast<std::size_t>(i)]) <= now_)
                     handle(i, Wake{});
@@ -212,9 +215,19 @@
     /// @param index index of the scheduler
     SchedulerState &state(int index = 0) { return states_[static_cast<std::size_t>(index)]; }
 
-    /// @brief Passes an event to a scheduler and performs the resulting effects.
+    /// @brief Passes an event to a scheduler and performs the resulting effects, at once or when
+    /// the scheduler has time for it.
     /// @param index index of the scheduler
     void handle(int index, const SchedulerEvent &event)
+    {
+        if (settings_.eventTime_ == microseconds(0))
+            handleNow(index, event);
+        else
+            queued_.push_back(QueuedEvent{index, event, now_});
+    }
+
+    /// @brief Passes an event to a scheduler and performs the resulting effects.
+    void handleNow(int index, const SchedulerEvent &event)
     {
         SchedulerEffects effects;
         reduce(states_[static_cast<std::size_t>(index)], now_, event, effects);
@@ -294,6 +307,13 @@
     std::map<std::string, std::vector<PieceResult>> progress_; ///< reported results by request id
 
 private:
+    struct QueuedEvent
+    {
+        int scheduler_ = 0; // index of the scheduler
+        SchedulerEvent event_;
+        Instant queuedAt_{};
+    };
+
     struct RunningCall
     {
         int scheduler_ = 0; // index of the scheduler that started the call
@@ -314,6 +334,18 @@
         return item;
     }
 
+    // Handles the queued events for which a single scheduler has had the time.
+    void handleQueued()
+    {
+        while (!queued_.empty() && freeAt_ < now_) {
+            const QueuedEvent next = std::move(queued_.front());
+            queued_.pop_front();
+            freeAt_ = std::max(freeAt_, next.queuedAt_) + settings_.eventTime_;
+            handleNow(next.scheduler_, SchedulerLag{now_ - next.queuedAt_});
+            handleNow(next.scheduler_, next.event_);
+        }
+    }
+
     // Carries out an effect of a scheduler. Stage upstreams process one call at a time and queue
     // the others, as real ones do.
     void perform(int index, const SchedulerEffect &effect)
@@ -392,6 +424,8 @@
     ViewPointer view_;
     std::deque<SchedulerState> states_;
     std::vector<RunningCall> running_;
+    std::deque<QueuedEvent> queued_; // events that wait for a scheduler
+    Instant freeAt_{}; // when the scheduler has handled its latest event
     std::map<std::string, Instant> busyUntil_; // end of the last queued call by upstream name
     std::map<std::string, Instant> arrived_; // time of the submission by request id
     std::set<std::string> crashed_; // names of the upstreams
--- a/packages/decision/tests/unit-scheduler.cpp
+++ b/packages/decision/tests/unit-scheduler.cpp
@@ -465,6 +465,25 @@
     BOOST_TEST(result.onTime_ * 100 >= result.submitted_ * 95);
 }
 
+// A scheduler that has no time for all requests refuses some at once, so that the others are served
+// in time. Without that, all of them wait for it at each of their stages.
+BOOST_DATA_TEST_CASE(scheduler_short_of_processor_time_serves_what_it_can, data::xrange(1, 6), seed)
+{
+    StageModelSettings settings;
+    settings.seed_ = static_cast<std::uint64_t>(seed);
+    settings.stageUpstreams_ = 60;
+    settings.objective_ = milliseconds(1500);
+    settings.patience_ = milliseconds(4000);
+    settings.eventTime_ = microseconds(4000);
+    StageModel model(settings);
+    model.generateLoad(110, seconds(10)); // about twice the events for which there is time
+    model.advance(seconds(8));
+    const StageModelResult result = model.result();
+    BOOST_TEST(result.onTime_ * 100 >= result.submitted_ * 25);
+    BOOST_TEST(result.late_ <= result.onTime_);
+    BOOST_TEST(result.abandoned_ * 100 <= result.submitted_);
+}
+
 // By the users' rules, a class of requests is starved if its served fraction is less than a quarter
 // of that of all requests.
 BOOST_DATA_TEST_CASE(low_priority_is_not_starved_by_a_burst_of_a_higher_priority,
--- a/packages/server/include/chervilspring/detail/process/scheduler_thread.hpp
+++ b/packages/server/include/chervilspring/detail/process/scheduler_thread.hpp
@@ -36,7 +36,9 @@
     void post(ViewPointer view);
 
 private:
+    /// Handles an event and records its load.
     void handle(const SchedulerEvent &event);
+    void apply(Instant now, const SchedulerEvent &event);
     void applyEffects(SchedulerEffects &effects);
     /// Records the load of an event whose handling began at startedAt, and logs the report if due.
     void recordLoad(Instant startedAt);
--- a/packages/server/src/scheduler_thread.cpp
+++ b/packages/server/src/scheduler_thread.cpp
@@ -53,12 +53,17 @@
 
 void SchedulerThread::handle(const SchedulerEvent &event)
 {
-    SchedulerEffects effects;
     const Instant startedAt = BootClock::now();
-    reduce(state_, startedAt, event, effects);
+    apply(startedAt, event);
+    recordLoad(startedAt);
+}
+
+void SchedulerThread::apply(Instant now, const SchedulerEvent &event)
+{
+    SchedulerEffects effects;
+    reduce(state_, now, event, effects);
     applyEffects(effects);
     timer_.arm(nextWake(state_));
-    recordLoad(startedAt);
 }
 
 void SchedulerThread::recordLoad(Instant startedAt)
@@ -68,9 +73,11 @@
     metrics_.observe("scheduler_event_seconds", "", now - startedAt);
     if (!loadReport_.lagProbeQueued_) {
         loadReport_.lagProbeQueued_ = true;
-        asio::post(context_, [this, now] {
-            const nanoseconds lag = BootClock::now() - now;
+        asio::post(context_, [this, queuedAt = now] {
+            const Instant handledAt = BootClock::now();
+            const nanoseconds lag = handledAt - queuedAt;
             recordLag(loadReport_, lag);
+            apply(handledAt, SchedulerLag{lag});
             metrics_.observe("scheduler_lag_seconds", "", lag);
         });
     }
