Scheduler: results are freed with fewer messages

They are now merged for up to 250 ms, unless the upstream has no room for another full call. Results live for seconds, so none outlives its time.

--- a/packages/decision/include/chervilspring/detail/scheduler/scheduler.hpp
+++ b/packages/decision/include/chervilspring/detail/scheduler/scheduler.hpp
@@ -37,6 +37,14 @@
     ViewPointer view_; ///< the new view; not null
 };
 
+/// @brief Results that a stage upstream will be told to free.
+struct PendingFree
+{
+    std::string pool_; ///< pool of the upstream
+    std::vector<std::string> handles_;
+    Instant dueAt_{}; ///< when it is told at the latest
+};
+
 /// @brief Event: measurement of how long events wait until the scheduler handles them.
 struct SchedulerLag
 {
@@ -112,6 +120,7 @@
     WorkIndex work_; ///< waiting pieces of jobs_
     std::map<JobId, Job> granted_; ///< requests that were assigned to an engine
     std::map<std::string, StageUpstream> stageUpstreams_; ///< by upstream name
+    std::map<std::string, PendingFree> pendingFrees_; ///< by upstream name
     NoticeTable notices_; ///< stage upstreams that leave or want no calls for a while
     EngineTable engines_;
     /// Engines by pool name; a pool that is missing here has not been needed since the last view.
--- a/packages/decision/include/chervilspring/detail/scheduler/scheduler_steps.hpp
+++ b/packages/decision/include/chervilspring/detail/scheduler/scheduler_steps.hpp
@@ -28,6 +28,9 @@
 /// @param what value of the key "decision", followed by further key=value pairs
 void addDecisionLine(SchedulerEffects &effects, const Job &job, const std::string &what);
 
+/// @brief Tells upstreams to free results whose time to be merged with others is over.
+void sendDueFrees(SchedulerState &state, Instant now, SchedulerEffects &effects);
+
 /// @brief Frees all results of a request.
 void freeAllResults(SchedulerState &state, Instant now, Job &job, SchedulerEffects &effects);
 
--- a/packages/decision/include/chervilspring/detail/scheduler/stage_storage.hpp
+++ b/packages/decision/include/chervilspring/detail/scheduler/stage_storage.hpp
@@ -11,6 +11,7 @@
 #include <cstdint>
 #include <map>
 #include <string>
+#include <vector>
 
 namespace chervilspring {
 
@@ -54,10 +55,10 @@
 /// @param until time by which all of them have expired
 void recordUnknownResults(StageUpstream &upstream, std::uint64_t bytes, Instant until);
 
-/// @brief Records that a result is freed.
+/// @brief Records that results are freed.
 ///
-/// Its storage counts as occupied until the upstream has received the message.
-void freeResult(StageUpstream &upstream, const std::string &handle, Instant now);
+/// Their storage counts as occupied until the upstream has received the message.
+void freeResults(StageUpstream &upstream, const std::vector<std::string> &handles, Instant now);
 
 /// @brief Records that an upstream ran out of storage although this scheduler counted some as free.
 ///
--- a/packages/decision/src/scheduler/scheduler.cpp
+++ b/packages/decision/src/scheduler/scheduler.cpp
@@ -451,6 +451,7 @@
         state.nextSweepAt_ = std::min(state.nextSweepAt_, state.dispatchPausedUntil_);
     sweepPlanned(state, now, effects);
     sweepGranted(state, now, effects);
+    sendDueFrees(state, now, effects);
     requestDispatchOfAll(state, now);
     dispatchCalls(state, now, effects);
 }
@@ -482,7 +483,7 @@
 Instant nextWake(const SchedulerState &state)
 {
     constexpr nanoseconds idleDelay = seconds(3600);
-    const bool idle = state.jobs_.empty() && state.granted_.empty();
+    const bool idle = state.jobs_.empty() && state.granted_.empty() && state.pendingFrees_.empty();
     Instant sweepAt = idle ? state.nextSweepAt_ + idleDelay : state.nextSweepAt_;
     for (const auto &[pool, due] : state.dispatchDueAt_)
         sweepAt = std::min(sweepAt, std::max(due, state.dispatchPausedUntil_));
--- a/packages/decision/src/scheduler/scheduler_results.cpp
+++ b/packages/decision/src/scheduler/scheduler_results.cpp
@@ -6,7 +6,30 @@
 
 namespace {
 
-// Frees the results of a stage, with one message to each upstream that holds some of them.
+constexpr nanoseconds freeMergeTime = milliseconds(250); // the lifetime of results is seconds
+
+// Returns whether an upstream lacks storage for another full call with results of this size.
+bool isShortOfStorage(const SchedulerState &state, const std::string &upstream,
+                      const StageWork &stage, Instant now)
+{
+    const PieceCapacity *capacity = pieceCapacity(state, stage.pool_);
+    const auto producer = state.stageUpstreams_.find(upstream);
+    return capacity && producer != state.stageUpstreams_.end()
+        && availableBytes(producer->second, *capacity, now) < capacity->batch_ * stage.resultBytes_;
+}
+
+// Tells an upstream to free the results that are no longer needed.
+void sendFree(SchedulerState &state, Instant now, const std::string &upstream,
+              const PendingFree &free, SchedulerEffects &effects)
+{
+    freeResults(state.stageUpstreams_[upstream], free.handles_, now);
+    requestDispatch(state, free.pool_, now + resultFreeDelay);
+    if (const Upstream *known = findUpstream(state, upstream))
+        effects.push_back(FreeResults{*known, free.handles_});
+}
+
+// Frees the results of a stage. Upstreams that aren't short of storage are told later, once for
+// several stages.
 void freeStage(SchedulerState &state, Instant now, StageWork &stage, SchedulerEffects &effects)
 {
     if (stage.resultsFreed_ || stage.pieces_.empty())
@@ -17,13 +40,15 @@
         if (piece.state_ == PieceState::Done)
             handlesByUpstream[piece.upstream_].push_back(piece.handle_);
     }
-    for (auto &[name, handles] : handlesByUpstream) {
-        StageUpstream &producer = state.stageUpstreams_[name];
-        for (const std::string &handle : handles)
-            freeResult(producer, handle, now);
-        requestDispatch(state, stage.pool_, now + resultFreeDelay);
-        if (const Upstream *upstream = findUpstream(state, name))
-            effects.push_back(FreeResults{*upstream, std::move(handles)});
+    for (const auto &[name, handles] : handlesByUpstream) {
+        const auto [pending, isNew] = state.pendingFrees_.try_emplace(
+            name, PendingFree{stage.pool_, {}, now + freeMergeTime});
+        auto &merged = pending->second.handles_;
+        merged.insert(merged.end(), handles.begin(), handles.end());
+        if (!isShortOfStorage(state, name, stage, now))
+            continue;
+        sendFree(state, now, name, pending->second, effects);
+        state.pendingFrees_.erase(pending);
     }
 }
 
@@ -40,18 +65,23 @@
 // Returns whether an upstream that holds results of a stage lacks storage for another full call.
 bool isShortOfStorage(const SchedulerState &state, const StageWork &stage, Instant now)
 {
-    const PieceCapacity *capacity = pieceCapacity(state, stage.pool_);
-    return capacity
-        && std::any_of(stage.pieces_.begin(), stage.pieces_.end(), [&](const Piece &piece) {
-               const auto producer = state.stageUpstreams_.find(piece.upstream_);
-               return producer != state.stageUpstreams_.end()
-                   && availableBytes(producer->second, *capacity, now)
-                   < capacity->batch_ * stage.resultBytes_;
-           });
+    return std::any_of(stage.pieces_.begin(), stage.pieces_.end(), [&](const Piece &piece) {
+        return isShortOfStorage(state, piece.upstream_, stage, now);
+    });
 }
 
 } // namespace
 
+void sendDueFrees(SchedulerState &state, Instant now, SchedulerEffects &effects)
+{
+    std::erase_if(state.pendingFrees_, [&](const auto &item) {
+        if (now < item.second.dueAt_)
+            return false;
+        sendFree(state, now, item.first, item.second, effects);
+        return true;
+    });
+}
+
 void freeAllResults(SchedulerState &state, Instant now, Job &job, SchedulerEffects &effects)
 {
     for (StageWork &stage : job.stages_)
@@ -114,6 +144,7 @@
         lostPieces += lostOfJob;
     }
     state.stageUpstreams_[upstream].heldResults_.clear();
+    state.pendingFrees_.erase(upstream);
     if (lostPieces > 0)
         requestDispatchOfAll(state, state.nextSweepAt_);
     if (lostPieces > 0)
--- a/packages/decision/src/scheduler/stage_storage.cpp
+++ b/packages/decision/src/scheduler/stage_storage.cpp
@@ -42,11 +42,13 @@
     return usable > used ? usable - used : 0;
 }
 
-void freeResult(StageUpstream &upstream, const std::string &handle, Instant now)
+void freeResults(StageUpstream &upstream, const std::vector<std::string> &handles, Instant now)
 {
-    const auto found = upstream.heldResults_.find(handle);
-    if (found != upstream.heldResults_.end())
-        found->second.expiresAt_ = std::min(found->second.expiresAt_, now + resultFreeDelay);
+    for (const std::string &handle : handles) {
+        const auto found = upstream.heldResults_.find(handle);
+        if (found != upstream.heldResults_.end())
+            found->second.expiresAt_ = std::min(found->second.expiresAt_, now + resultFreeDelay);
+    }
     std::erase_if(upstream.heldResults_,
                   [&](const auto &item) { return item.second.expiresAt_ <= now; });
 }
--- a/packages/decision/tests/stage_model.hpp
+++ b/packages/decision/tests/stage_model.hpp
@@ -303,6 +303,7 @@
     std::map<std::string, Instant> refused_; ///< time of the first refusal by request id
     std::map<std::string, PlanRefusal> refusals_; ///< last refusal by request id
     std::set<std::string> freedHandles_; ///< handles of the results that schedulers have freed
+    int freeMessages_ = 0; ///< messages that free results
     std::map<std::string, PlanRequest> requests_; ///< submitted requests by request id
     std::map<std::string, std::vector<PieceResult>> progress_; ///< reported results by request id
 
@@ -373,6 +374,7 @@
             stored_.push_back(store->quarantine_);
         } else if (const auto *free = std::get_if<FreeResults>(&effect)) {
             freedHandles_.insert(free->handles_.begin(), free->handles_.end());
+            ++freeMessages_;
         }
     }
 
--- a/packages/decision/tests/unit-scheduler.cpp
+++ b/packages/decision/tests/unit-scheduler.cpp
@@ -97,7 +97,7 @@
     StageUpstream upstream;
     const Instant now(seconds(5));
     upstream.heldResults_["a"] = HeldResult{60, now + seconds(4)};
-    freeResult(upstream, "a", now);
+    freeResults(upstream, {"a"}, now);
     BOOST_TEST(availableBytes(upstream, capacity, now) == 40u);
     BOOST_TEST(availableBytes(upstream, capacity, now + milliseconds(20)) == 100u);
 }
@@ -550,6 +550,22 @@
     BOOST_TEST(model.grants_.contains(id));
 }
 
+// Each message is a call to the upstream, and there were more of them than calls with pieces.
+BOOST_AUTO_TEST_CASE(results_of_several_requests_are_freed_with_one_message)
+{
+    StageModelSettings settings;
+    settings.stageUpstreams_ = 1;
+    StageModel model(settings);
+    for (int i = 0; i < 4; ++i) {
+        model.submit(2, 1);
+        model.advance(milliseconds(20));
+    }
+    model.advance(seconds(3));
+    BOOST_TEST(model.granted_.size() == 4u);
+    BOOST_TEST(model.freedHandles_.size() == 12u);
+    BOOST_TEST(model.freeMessages_ <= 4);
+}
+
 BOOST_AUTO_TEST_CASE(results_are_kept_until_the_next_stage_is_done_if_storage_suffices)
 {
     StageModelSettings settings;
