A rejected request keeps the count of the upstreams it has crashed

Callers of other requests could lose more upstreams than needed (BUDGET): a complete answer below 500, such as 400 or 429, withdrew the crashes counted for a request, as if it had run to its end. Such an answer says that it hasn't.

--- a/packages/decision/src/direct/direct_runs.cpp
+++ b/packages/decision/src/direct/direct_runs.cpp
@@ -101,9 +101,10 @@
 }
 
 // Withdraws the crash reports about a request that has now been served.
-void clearIfSuspect(const DirectState &state, const DirectRequest &request, DirectEffects &effects)
+void clearIfSuspect(const DirectState &state, const DirectRequest &request, unsigned status,
+                    DirectEffects &effects)
 {
-    if (findSuspect(state, request.digest_))
+    if (status < firstFailure && findSuspect(state, request.digest_))
         effects.push_back(SubmitProposal{0, ClearSuspect{request.digest_}, withdrawalTimeout});
 }
 
@@ -201,7 +202,7 @@
         return;
     }
     if (!failed) {
-        clearIfSuspect(state, request, effects);
+        clearIfSuspect(state, request, event.status_, effects);
         recordServiceTime(state, now, request);
     }
     const bool served = event.status_ < firstFailure;
@@ -294,7 +295,7 @@
     switch (event.end_) {
     case RunEnd::Delivered:
         ++request->possibleExecutions_;
-        clearIfSuspect(state, *request, effects);
+        clearIfSuspect(state, *request, event.status_, effects);
         recordServiceTime(state, now, *request);
         notifyScheduler(*request, PlanOutcome::Served, "delivered", effects);
         finishRequest(state, now, event.token_, EndReason{"delivered"}, event.status_, effects);
--- a/packages/decision/tests/unit-direct.cpp
+++ b/packages/decision/tests/unit-direct.cpp
@@ -585,6 +585,36 @@
     BOOST_TEST(std::holds_alternative<ClearSuspect>(effectsOf<SubmitProposal>(ended)[0].command_));
 }
 
+struct WithdrawalRow
+{
+    unsigned status_; ///< of the complete response
+    bool withdrawn_;
+};
+
+std::ostream &operator<<(std::ostream &stream, const WithdrawalRow &row)
+{
+    return stream << row.status_;
+}
+
+const WithdrawalRow withdrawalTable[] = {{200, true},  {204, true},  {302, false}, {400, false},
+                                         {404, false}, {429, false}, {500, false}};
+
+// A response that rejects a request says nothing about what happens when it runs.
+BOOST_DATA_TEST_CASE(rejected_request_keeps_its_crash_count, data::make(withdrawalTable), row)
+{
+    DirectFixture fixture;
+    fixture.call("unsafe");
+    const std::uint64_t digest = fixture.state_.requests_.at(1).digest_;
+    auto view = std::make_shared<View>(*testView());
+    ++view->version_;
+    view->suspects_ = {Suspect{digest, 2, false}};
+    ViewChanged changed;
+    changed.view_ = view;
+    fixture.handle(changed);
+    const auto effects = fixture.handle(RunEnded{1, 1, RunEnd::Held, row.status_, "", ""});
+    BOOST_TEST(effectsOf<SubmitProposal>(effects).size() == (row.withdrawn_ ? 1u : 0u));
+}
+
 struct CrashRow
 {
     const char *name_;
