Reports of crashes outlast a change of leader

A report that a request has crashed an upstream was given up after 3 s without a leader, so that more upstreams ended under the request (BUDGET). Reports of prompt parts were repeated to a new leader, these weren't. The users' bounds allow 15 s until a new leader serves; a report is kept for 30 s.

--- a/packages/decision/src/direct/direct_crashes.cpp
+++ b/packages/decision/src/direct/direct_crashes.cpp
@@ -6,7 +6,8 @@
 
 namespace {
 
-constexpr nanoseconds reportTimeout = seconds(3); // for storing a report in the log
+// For storing a report in the log, longer than the control processes may be without a leader.
+constexpr nanoseconds reportTimeout = seconds(30);
 constexpr std::size_t maxReportedCrashes = 8; // that are reported again
 constexpr nanoseconds reportLifetime = minutes(10); // as schedulers remember crashes
 
--- a/packages/decision/tests/unit-direct.cpp
+++ b/packages/decision/tests/unit-direct.cpp
@@ -615,6 +615,16 @@
     BOOST_TEST(effectsOf<SubmitProposal>(effects).size() == (row.withdrawn_ ? 1u : 0u));
 }
 
+// Crashes were forgotten if the control processes had no leader for three seconds.
+BOOST_AUTO_TEST_CASE(crash_reports_outlast_a_change_of_leader)
+{
+    constexpr nanoseconds longestRecovery = seconds(15); // without a leader, by the users' bounds
+    DirectFixture fixture;
+    const auto effects = fixture.handle(UpstreamProbed{"plain-1", 5, false});
+    BOOST_REQUIRE(effectsOf<SubmitProposal>(effects).size() == 1u);
+    BOOST_TEST((effectsOf<SubmitProposal>(effects)[0].patience_ > longestRecovery));
+}
+
 struct CrashRow
 {
     const char *name_;
