A suspended scheduler isn't taken for one with a long queue

The clock goes on while a VM is suspended: one measured lag of seconds would refuse the requests that follow. A measurement counts for at most a second. decision:suspension_of_the_scheduler_is_not_taken_for_a_long_queue failed before this cap.

--- a/packages/decision/src/scheduler/scheduler.cpp
+++ b/packages/decision/src/scheduler/scheduler.cpp
@@ -16,6 +16,7 @@
 constexpr double slowdownWeight = 0.3; // weight of the newest call in the moving average
 constexpr nanoseconds minRetryAfter = milliseconds(100);
 constexpr int lagSamples = 8; // the newest lag counts with one part in this number
+constexpr nanoseconds maxLag = seconds(1); // a longer one is that of a VM that was suspended
 // Time after its deadline at which a granted request is dropped if its entry has not reported its
 // end.
 constexpr nanoseconds orphanTimeout = seconds(5);
@@ -458,7 +459,7 @@
 
 void onLag(SchedulerState &state, nanoseconds lag)
 {
-    state.lag_ += (lag - state.lag_) / lagSamples;
+    state.lag_ += (std::min(lag, maxLag) - state.lag_) / lagSamples;
 }
 
 void onPeerMessage(SchedulerState &state, Instant now, const PeerMessage &event,
--- a/packages/decision/tests/unit-scheduler.cpp
+++ b/packages/decision/tests/unit-scheduler.cpp
@@ -484,6 +484,16 @@
     BOOST_TEST(result.abandoned_ * 100 <= result.submitted_);
 }
 
+// The clock goes on while a VM is suspended, but nothing has queued up.
+BOOST_AUTO_TEST_CASE(suspension_of_the_scheduler_is_not_taken_for_a_long_queue)
+{
+    StageModel model({});
+    model.handle(0, SchedulerLag{seconds(30)});
+    const std::string id = model.submit(1, 1);
+    model.advance(seconds(2));
+    BOOST_TEST(model.grants_.contains(id));
+}
+
 // By the users' rules, a class of requests is starved if its served fraction is less than a quarter
 // of that of all requests.
 BOOST_DATA_TEST_CASE(low_priority_is_not_starved_by_a_burst_of_a_higher_priority,
