Test fixture: SIGSTOP returns once the process has stopped

On a busy machine the thread that takes the signal waits for a processor, and the other threads run on until then, so a follower still stored the command. The fixture waits for the stop now, as the test assumes; its checks are the same.

--- a/standins/src/fleet_fixture.cpp
+++ b/standins/src/fleet_fixture.cpp
@@ -239,8 +239,14 @@
 void FleetFixture::signal(const std::string &name, int number)
 {
     const Process &process = processes_.at(name);
-    if (process.pid_ > 0)
-        ::kill(process.pid_, number);
+    if (process.pid_ <= 0)
+        return;
+    ::kill(process.pid_, number);
+    if (number != SIGSTOP)
+        return;
+    // On a busy machine, threads run on for a while after the signal was sent.
+    siginfo_t state{};
+    ::waitid(P_PID, static_cast<id_t>(process.pid_), &state, WSTOPPED | WEXITED | WNOWAIT);
 }
 
 bool FleetFixture::running(const std::string &name)
