Prompt parts are suspected of crashes that come before the head of a response

Callers saw: a prompt part on which engines crash before they send the head of a response was sent to engines for as long as requests with it came; 41 crashes, 29 of them later than 2 s after the fifth.

Cause: the entry handed the prompt's parts to the scheduler only if a response had begun. A crash before the head was counted for the digest of the whole request alone, which never comes again. A process that ends with unread bytes resets its connections, and the reset discards a head that the entry hasn't read, so a crash after the head looks the same.

Change: each planned run whose engine is gone before the first event is reported. Crashes count at the time at which they happened, and engines that crash at the same moment count once: with the reports of waiting requests, the loss of a data centre would otherwise be evidence against parts that many requests share.

Row "no response" of run_that_crashes_its_engine_before_the_first_event_is_reported expected the fault (no report); it expects the report now. engines_that_crash_at_the_same_moment_prove_nothing, crashes_count_at_the_time_at_which_they_happened are new, crashThreeEngines() spreads its crashes over 0.9 s.

--- a/packages/decision/include/chervilspring/detail/direct/direct.hpp
+++ b/packages/decision/include/chervilspring/detail/direct/direct.hpp
@@ -97,6 +97,7 @@
     std::uint64_t digest_ = 0; ///< DirectRequest::digest_ of the request that ran there
     bool reachable_ = false; ///< the upstream accepts connections
     std::optional<RunCrashed> run_; ///< as in ProbeUpstream
+    Instant failedAt_{}; ///< as in ProbeUpstream
 };
 
 /// @brief Event: the process was told to stop.
@@ -162,8 +163,8 @@
 {
     Upstream upstream_;
     std::uint64_t digest_ = 0; ///< copied to UpstreamProbed::digest_
-    /// Set if the upstream had begun its response to a planned run; copied to UpstreamProbed::run_.
-    std::optional<RunCrashed> run_;
+    std::optional<RunCrashed> run_; ///< set for a planned run; copied to UpstreamProbed::run_
+    Instant failedAt_{}; ///< end of the run; copied to UpstreamProbed::failedAt_
 };
 
 /// @brief Effect: the request is finished; no further effects follow for it.
@@ -243,7 +244,7 @@
 struct ReportedCrash
 {
     RunCrashed report_; ///< without the prompt parts that this entry has seen to be sound since
-    Instant at_{}; ///< when the crash was noticed
+    Instant at_{}; ///< end of the run
 };
 
 /// @brief Complete state of the direct entry.
--- a/packages/decision/include/chervilspring/detail/direct/direct_steps.hpp
+++ b/packages/decision/include/chervilspring/detail/direct/direct_steps.hpp
@@ -121,7 +121,7 @@
 /// @brief Probes the upstream of a failed run that may have crashed it.
 ///
 /// An upstream that only lost a response still accepts connections.
-void probeAfterFailure(const DirectState &state, const DirectRequest &request,
+void probeAfterFailure(const DirectState &state, Instant now, const DirectRequest &request,
                        const RunEnded &event, DirectEffects &effects);
 
 /// @brief Reports a crash to the fleet if the probed upstream is unreachable.
--- a/packages/decision/include/chervilspring/detail/scheduler/quarantine.hpp
+++ b/packages/decision/include/chervilspring/detail/scheduler/quarantine.hpp
@@ -5,10 +5,11 @@
 /// The parts of a prompt are shared with sound requests, so one crash doesn't tell which part
 /// caused it. Each part counts the crashes of the requests that have it, from zero again whenever a
 /// request with it gets its first token. Parts that got first tokens lately need more crashes than
-/// others. Parts of a request that were in exactly the same crashes can't be told apart; only
-/// requests that have all of them are refused, so that the next request with some of them tells
-/// more. Requests with a quarantined part that run already go on: if they get first tokens, the
-/// part is sound.
+/// others. Crashes at the same moment count once, since a cause outside of the requests ends
+/// several engines at a time. Parts of a request that were in exactly the same crashes can't be
+/// told apart; only requests that have all of them are refused, so that the next request with some
+/// of them tells more. Requests with a quarantined part that run already go on: if they get first
+/// tokens, the part is sound.
 #pragma once
 
 #include "chervilspring/messages.hpp"
@@ -20,13 +21,13 @@
 
 namespace chervilspring {
 
-/// @brief Crash of a model engine that had begun to answer requests.
+/// @brief Crash of a model engine that had requests before their first token.
 struct EngineCrash
 {
     std::string upstream_; ///< name of the engine
     std::uint64_t agentBoot_ = 0; ///< boot id of the engine
-    Instant at_{}; ///< when the crash was reported first
-    std::set<std::string> requests_; ///< ids of the requests that it was beginning to answer
+    Instant at_{}; ///< end of the run that was reported first
+    std::set<std::string> requests_; ///< ids of the requests that it had
     bool explained_ = false; ///< attributed to quarantined parts
 };
 
--- a/packages/decision/src/direct/direct_crashes.cpp
+++ b/packages/decision/src/direct/direct_crashes.cpp
@@ -20,16 +20,25 @@
     return noResponse || (event.responseBegun_ && !request.runStarted_);
 }
 
-void keepReport(DirectState &state, Instant now, const RunCrashed &report)
+// Reports a crash to a scheduler.
+void sendReport(Instant now, const std::string &scheduler, const ReportedCrash &crash,
+                DirectEffects &effects)
 {
-    state.reportedCrashes_.push_back(ReportedCrash{report, now});
+    RunCrashed report = crash.report_;
+    report.ago_ = now - crash.at_;
+    effects.push_back(SendToPeer{scheduler, std::move(report)});
+}
+
+void keepReport(DirectState &state, ReportedCrash crash)
+{
+    state.reportedCrashes_.push_back(std::move(crash));
     if (state.reportedCrashes_.size() > maxReportedCrashes)
         state.reportedCrashes_.pop_front();
 }
 
 } // namespace
 
-void probeAfterFailure(const DirectState &state, const DirectRequest &request,
+void probeAfterFailure(const DirectState &state, Instant now, const DirectRequest &request,
                        const RunEnded &event, DirectEffects &effects)
 {
     if (!mayHaveCrashed(request, event))
@@ -41,10 +50,10 @@
     const auto upstream = state.table_->availableUpstreams_.find(request.upstream_);
     if (upstream == state.table_->availableUpstreams_.end())
         return;
-    ProbeUpstream probe{*upstream->second, request.digest_};
-    if (event.responseBegun_ && isPlanned(request))
+    ProbeUpstream probe{*upstream->second, request.digest_, {}, now};
+    if (isPlanned(request))
         probe.run_ = RunCrashed{request.call_.id_, request.upstream_, upstream->second->agentBoot_,
-                                request.call_.parts_};
+                                request.call_.parts_, nanoseconds(0)};
     effects.push_back(std::move(probe));
 }
 
@@ -63,9 +72,10 @@
         SubmitProposal{0, ReportCrash{event.digest_, event.upstream_, false}, reportTimeout});
     if (!reported)
         return;
-    keepReport(state, now, *event.run_);
+    const ReportedCrash crash{*event.run_, event.failedAt_};
+    keepReport(state, crash);
     if (!scheduler.empty())
-        effects.push_back(SendToPeer{scheduler, *event.run_});
+        sendReport(now, scheduler, crash, effects);
 }
 
 void repeatCrashReports(DirectState &state, Instant now, DirectEffects &effects)
@@ -77,7 +87,7 @@
         effects.push_back(DecisionLine{"decision=crash_repeated request=" + crash.report_.id_
                                        + " upstream=" + crash.report_.upstream_
                                        + " reported_to=" + state.leader_});
-        effects.push_back(SendToPeer{state.leader_, crash.report_});
+        sendReport(now, state.leader_, crash, effects);
     }
 }
 
--- a/packages/decision/src/direct/direct_runs.cpp
+++ b/packages/decision/src/direct/direct_runs.cpp
@@ -155,7 +155,7 @@
                     "upstream=" + request.upstream_
                         + " took_ms=" + millisecondsText(now - request.runStartedAt_)
                         + " last_event=" + request.lastEventId_ + " detail=" + event.detail_);
-    probeAfterFailure(state, request, event, effects);
+    probeAfterFailure(state, now, request, event, effects);
     const bool allowed = isRepeatable(request) && event.resumable_
         && request.possibleExecutions_ < request.route_->maxAttempts_;
     if (allowed && tryUseRetry(state, now, request)) {
--- a/packages/decision/src/scheduler/quarantine.cpp
+++ b/packages/decision/src/scheduler/quarantine.cpp
@@ -10,7 +10,7 @@
 
 namespace {
 
-// Crashed engines for which parts are quarantined.
+// Moments with crashes of engines for which parts are quarantined.
 constexpr std::size_t crashLimit = 3;
 constexpr std::size_t unclearCrashLimit = 5; // if a part got first tokens lately, or has a rival
 constexpr nanoseconds soundInterval = seconds(30);
@@ -18,6 +18,9 @@
 // Requests that have to get first tokens before a part without any counts as unproven.
 constexpr std::size_t minSoundRequests = 64;
 constexpr nanoseconds sameCrashTime = seconds(1); // an engine takes longer to start
+// Engines that crash within this time count as one moment: the loss of a data centre ends all of
+// its engines, with parts that many requests share at several of them.
+constexpr nanoseconds sameMomentTime = milliseconds(200);
 constexpr std::size_t maxQuarantinedParts = 16; // of one quarantine
 constexpr nanoseconds crashLifetime = minutes(10); // parts may be rare
 constexpr std::size_t maxCrashes = 64;
@@ -77,18 +80,19 @@
 std::optional<std::uint64_t> findOrAddCrash(QuarantineTable &table, Instant now,
                                             const RunCrashed &report)
 {
+    const Instant at = now - report.ago_;
     std::uint64_t number = 0;
     for (const auto &[known, crash] : table.crashes_) {
         if (crash.upstream_ != report.upstream_ || crash.agentBoot_ != report.agentBoot_)
             continue;
         if (crash.requests_.contains(report.id_))
             return std::nullopt;
-        if (now - crash.at_ < sameCrashTime)
+        if (std::max(at - crash.at_, crash.at_ - at) < sameCrashTime)
             number = known;
     }
     if (number == 0) {
         number = table.nextCrash_++;
-        table.crashes_[number] = EngineCrash{report.upstream_, report.agentBoot_, now, {}, false};
+        table.crashes_[number] = EngineCrash{report.upstream_, report.agentBoot_, at, {}, false};
     }
     table.crashes_[number].requests_.insert(report.id_);
     return number;
@@ -130,6 +134,23 @@
     auto strength() const { return std::pair(unproven_, crashes_.size()); }
 };
 
+// Returns at how many different moments the crashes happened.
+std::size_t countMoments(const QuarantineTable &table, const std::set<std::uint64_t> &crashes)
+{
+    std::set<Instant> times;
+    for (const std::uint64_t number : crashes)
+        times.insert(table.crashes_.at(number).at_);
+    std::size_t moments = 0;
+    Instant momentEndsAt{};
+    for (const Instant at : times) {
+        if (moments > 0 && at < momentEndsAt)
+            continue;
+        ++moments;
+        momentEndsAt = at + sameMomentTime;
+    }
+    return moments;
+}
+
 bool isCausedByOneRequest(const QuarantineTable &table, const std::set<std::uint64_t> &crashes)
 {
     std::set<std::string> requests;
@@ -171,7 +192,7 @@
         const Suspicion suspicion{!mayBeSound(table, part.id_), found->second};
         const auto &crashes = suspicion.crashes_;
         const bool isClear = suspicion.unproven_ && !hasRival(table, crashes, parts);
-        if (crashes.size() < (isClear ? crashLimit : unclearCrashLimit)
+        if (countMoments(table, crashes) < (isClear ? crashLimit : unclearCrashLimit)
             || isCausedByOneRequest(table, crashes))
             continue;
         if (!strongest || suspicion.strength() > strongest->strength())
--- a/packages/decision/tests/unit-direct.cpp
+++ b/packages/decision/tests/unit-direct.cpp
@@ -642,7 +642,7 @@
 }
 
 const CrashRow crashTable[] = {
-    {"no response", false, RunEnd::Failed, 0, false, true, false},
+    {"no response", false, RunEnd::Failed, 0, false, true, true},
     {"cut head", false, RunEnd::Failed, 0, true, true, true},
     {"head without events", false, RunEnd::Failed, 200, true, true, true},
     {"head of a resumed run without events", false, RunEnd::Broken, 200, true, true, true},
@@ -703,7 +703,8 @@
     end.responseBegun_ = true;
     const auto probes = effectsOf<ProbeUpstream>(fixture.handle(end));
     BOOST_REQUIRE(probes.size() == 1u);
-    fixture.handle(UpstreamProbed{"engine-1", probes[0].digest_, false, probes[0].run_});
+    fixture.handle(
+        UpstreamProbed{"engine-1", probes[0].digest_, false, probes[0].run_, probes[0].failedAt_});
 }
 
 ViewChanged leaderView(const DirectFixture &fixture, const std::string &leader)
--- a/packages/decision/tests/unit-quarantine.cpp
+++ b/packages/decision/tests/unit-quarantine.cpp
@@ -166,6 +166,31 @@
     BOOST_TEST(!session.isRefused("bad l5"));
 }
 
+// The loss of a data centre ends all of its engines, with requests that share parts.
+BOOST_AUTO_TEST_CASE(engines_that_crash_at_the_same_moment_prove_nothing)
+{
+    Session session;
+    session.handle("+common session l0");
+    for (int i = 1; i <= 20; ++i) {
+        session.now_ += milliseconds(8);
+        session.crash("common session l" + std::to_string(i), "engine-" + std::to_string(i));
+        session.crash("common rare l" + std::to_string(i), "engine-" + std::to_string(i));
+    }
+    for (const char *parts : {"common l0", "common session l0", "common rare l0"})
+        BOOST_TEST(!session.isRefused(parts), parts);
+}
+
+// An entry that was out of touch reports its crashes of a minute at once.
+BOOST_AUTO_TEST_CASE(crashes_count_at_the_time_at_which_they_happened)
+{
+    Session session;
+    for (int i = 1; i <= 3; ++i)
+        recordCrash(session.table_, session.now_,
+                    RunCrashed{"id" + std::to_string(i), "engine-" + std::to_string(i), 1,
+                               partsOf("bad l" + std::to_string(i)), seconds(60 - 10 * i)});
+    BOOST_TEST(session.isRefused("bad l9"));
+}
+
 // Retries of one request: its digest gets it refused.
 BOOST_AUTO_TEST_CASE(crashes_of_one_request_quarantine_no_part)
 {
--- a/packages/decision/tests/unit-scheduler.cpp
+++ b/packages/decision/tests/unit-scheduler.cpp
@@ -675,13 +675,16 @@
 {
     for (int i = 0; i < 64; ++i)
         recordStart(model.state().quarantines_, model.now_, {PromptPart{"good", 10}});
-    for (const char *number : {"1", "2", "3"})
+    for (const int number : {1, 2, 3}) {
+        const std::string text = std::to_string(number);
         model.handle(0,
                      PeerMessage{"entry",
-                                 RunCrashed{std::string("c") + number,
-                                            std::string("engine-") + number,
+                                 RunCrashed{"c" + text,
+                                            "engine-" + text,
                                             1,
-                                            {PromptPart{"bad", 10}, PromptPart{number, 10}}}});
+                                            {PromptPart{"bad", 10}, PromptPart{text, 10}},
+                                            number * milliseconds(300)}});
+    }
 }
 
 BOOST_AUTO_TEST_CASE(request_that_waits_while_its_part_is_quarantined_is_refused_at_once)
--- a/packages/wire/schema/fleet.capnp
+++ b/packages/wire/schema/fleet.capnp
@@ -611,6 +611,7 @@
   upstream @1 :Text;
   agentBoot @2 :UInt64;
   parts @3 :List(PromptPart);
+  ago @4 :Int64;
 }
 
 struct Command {
