Prompt parts are suspected of crashes that come after the first event

Cause: runs that had begun to answer were never suspected, and each first token cleared the crashes counted for its parts and marked them as sound. A part that crashes engines later sends a first token every time.

Evidence: 73 run_failed lines, 8 of them with a crash line, no quarantine.

Change: each planned run whose engine is gone is reported, with whether it had begun. A first token clears the crashes that came before one, a whole response clears all; quarantines say which of the two lifts them. An engine that has said that it leaves isn't suspected. One connection probes an upstream for all runs that broke there.

Row "cut after an event" of the table in unit-direct expected the fault (no probe); it expects the report now, and the test checks started_. New rows in only_parts_that_explain_crashes_are_refused: among them sound streams that crashes of others have cut.

--- a/packages/core/include/chervilspring/messages.hpp
+++ b/packages/core/include/chervilspring/messages.hpp
@@ -657,7 +657,7 @@
 };
 BOOST_DESCRIBE_STRUCT(PlanEnd, (), (id_, round_, served_, detail_, engineFailed_, moved_))
 
-/// @brief Reports a run that a model engine had when it crashed, before the first token.
+/// @brief Reports a run that a model engine had when it crashed.
 struct RunCrashed
 {
     std::string id_; ///< id of the client attempt
@@ -665,8 +665,9 @@
     std::uint64_t agentBoot_ = 0; ///< boot id of the engine
     std::vector<PromptPart> parts_; ///< parts of the prompt, in prompt order
     nanoseconds ago_{0}; ///< time since the run ended
+    bool started_ = false; ///< the run had sent its first token
 };
-BOOST_DESCRIBE_STRUCT(RunCrashed, (), (id_, upstream_, agentBoot_, parts_, ago_))
+BOOST_DESCRIBE_STRUCT(RunCrashed, (), (id_, upstream_, agentBoot_, parts_, ago_, started_))
 
 /// @brief Message of a frame. New alternatives have to be added at the end.
 using Message =
--- a/packages/core/include/chervilspring/upstream.hpp
+++ b/packages/core/include/chervilspring/upstream.hpp
@@ -54,9 +54,10 @@
     std::vector<std::string> parts_; ///< ids of prompt parts, sorted
     std::uint32_t crashes_ = 0; ///< crashes of upstreams that are attributed to the parts
     std::uint32_t trials_ = 0; ///< requests that were admitted to find out whether they still crash
+    bool afterStart_ = false; ///< upstreams crash after the first token, which proves nothing then
     bool operator==(const Quarantine &) const = default;
 };
-BOOST_DESCRIBE_STRUCT(Quarantine, (), (id_, parts_, crashes_, trials_))
+BOOST_DESCRIBE_STRUCT(Quarantine, (), (id_, parts_, crashes_, trials_, afterStart_))
 
 /// @brief State of the fleet at one version: configuration, upstreams, suspects and quarantines.
 struct View
--- a/packages/decision/include/chervilspring/detail/direct/direct_steps.hpp
+++ b/packages/decision/include/chervilspring/detail/direct/direct_steps.hpp
@@ -131,8 +131,14 @@
 /// @brief Tells a new leader of the crashes that former ones were told of.
 void repeatCrashReports(DirectState &state, Instant now, DirectEffects &effects);
 
+/// @brief How far a request got, and so which crashes its prompt parts don't cause.
+enum class SoundUntil {
+    FirstToken, ///< those before the first token
+    End, ///< all
+};
+
 /// @brief Removes prompt parts that are known to be sound from the crashes to be reported again.
-void forgetCrashesOf(DirectState &state, const std::vector<std::string> &parts);
+void forgetCrashesOf(DirectState &state, const std::vector<std::string> &parts, SoundUntil until);
 
 /// @brief Removes the parts of quarantines that a newer view no longer contains from the crashes to
 /// be reported again.
--- a/packages/decision/include/chervilspring/detail/scheduler/quarantine.hpp
+++ b/packages/decision/include/chervilspring/detail/scheduler/quarantine.hpp
@@ -4,24 +4,24 @@
 ///
 /// The parts of a prompt are shared with sound requests, so one crash doesn't tell which part
 /// caused it. Each part counts the crashes of the requests that have it, from zero again whenever a
-/// request with it gets its first token. Parts that got first tokens lately need more crashes than
-/// others. Crashes at the same moment count once, since a cause outside of the requests ends
-/// several engines at a time. Parts of a request that were in exactly the same crashes can't be
-/// told apart; only requests that have all of them are refused, so that the next request with some
-/// of them tells more. Requests with a quarantined part that run already go on: if they get first
-/// tokens, the part is sound.
+/// request with it is served. A first token clears only the crashes that came before the first
+/// token of their request: other ones show that the part may crash engines later. Parts that were
+/// sound lately need more crashes than others. Crashes at the same moment count once, since a cause
+/// outside of the requests ends several engines at a time. Parts of a request that were in exactly
+/// the same crashes can't be told apart; only requests that have all of them are refused, so that
+/// the next request with some of them tells more. Requests with a quarantined part that run already
+/// go on: they may show that the part is sound.
 #pragma once
 
 #include "chervilspring/messages.hpp"
 
-#include <array>
 #include <map>
 #include <set>
 #include <unordered_set>
 
 namespace chervilspring {
 
-/// @brief Crash of a model engine that had requests before their first token.
+/// @brief Crash of a model engine that had requests.
 struct EngineCrash
 {
     std::string upstream_; ///< name of the engine
@@ -44,23 +44,37 @@
     Instant proposeAt_{}; ///< when record_ is proposed to the log, unless it is stored
 };
 
-/// @brief Prompt parts of requests that got their first token in an interval, without the parts
-/// that ended the prompts: most of these belong to one request.
+/// @brief Crashes that a prompt part may have caused, by number.
+struct PartCrashes
+{
+    std::set<std::uint64_t> all_;
+    std::set<std::uint64_t> afterStart_; ///< those after the first token of a request with the part
+};
+
+/// @brief Prompt parts of requests that were sound in an interval, without the parts that ended the
+/// prompts: most of these belong to one request.
 struct SoundParts
 {
     std::unordered_set<std::string> parts_;
     std::size_t requests_ = 0; ///< number of the requests
 };
 
+/// @brief Prompt parts of requests that were sound lately.
+struct SoundHistory
+{
+    SoundParts current_; ///< in the current interval
+    SoundParts previous_; ///< in the one before
+    Instant intervalEndsAt_{};
+};
+
 /// @brief Crashes and quarantines known to a scheduler.
 struct QuarantineTable
 {
     std::map<std::uint64_t, EngineCrash> crashes_; ///< by number, oldest first
     std::uint64_t nextCrash_ = 1; ///< number of the next crash of an engine
-    /// Numbers of the crashes that a part may have caused, by part.
-    std::map<std::string, std::set<std::uint64_t>> crashesByPart_;
-    std::array<SoundParts, 2> soundParts_; ///< in the current interval and in the one before
-    Instant soundIntervalEndsAt_{};
+    std::map<std::string, PartCrashes> crashesByPart_;
+    SoundHistory started_; ///< of requests that got their first token
+    SoundHistory served_; ///< of requests that got their whole response
     std::vector<ActiveQuarantine> active_;
 };
 
@@ -94,10 +108,14 @@
 /// @return whether the quarantines changed
 bool recordCrash(QuarantineTable &table, Instant now, const RunCrashed &crash);
 
-/// @brief Records that a request got its first token: its parts are sound.
+/// @brief Records that a request got its first token: its parts crash no engine before it.
 /// @return whether the quarantines changed
 bool recordStart(QuarantineTable &table, Instant now, const std::vector<PromptPart> &parts);
 
+/// @brief Records that a request was served: its parts are sound.
+/// @return whether the quarantines changed
+bool recordServed(QuarantineTable &table, Instant now, const std::vector<PromptPart> &parts);
+
 /// @brief Applies the quarantines of a view. Changes that are being proposed stay in force.
 void applyQuarantines(QuarantineTable &table, Instant now,
                       const std::vector<Quarantine> &quarantines);
--- a/packages/decision/include/chervilspring/detail/scheduler/scheduler_steps.hpp
+++ b/packages/decision/include/chervilspring/detail/scheduler/scheduler_steps.hpp
@@ -105,13 +105,16 @@
 bool refuseIfQuarantined(SchedulerState &state, Instant now, const JobId &id, Job &job,
                          SchedulerEffects &effects);
 
-/// @brief Handles the report that a model engine crashed before the first token of a run.
+/// @brief Handles the report that a model engine crashed under a run.
 void onRunCrashed(SchedulerState &state, Instant now, const RunCrashed &crash,
                   SchedulerEffects &effects);
 
-/// @brief Records that a request got its first token, or a whole response.
+/// @brief Records that a request got its first token.
 void noteFirstToken(SchedulerState &state, Instant now, Job &job, SchedulerEffects &effects);
 
+/// @brief Records that a request got its whole response.
+void noteServed(SchedulerState &state, Instant now, Job &job, SchedulerEffects &effects);
+
 /// @brief Applies the quarantines of the current view and refuses planned requests that match.
 void updateQuarantines(SchedulerState &state, Instant now, SchedulerEffects &effects);
 
--- a/packages/decision/src/direct/direct_crashes.cpp
+++ b/packages/decision/src/direct/direct_crashes.cpp
@@ -11,13 +11,13 @@
 constexpr std::size_t maxReportedCrashes = 8; // that are reported again
 constexpr nanoseconds reportLifetime = minutes(10); // as schedulers remember crashes
 
-// The connection broke before the response, or between its first byte and the first event.
-bool mayHaveCrashed(const DirectRequest &request, const RunEnded &event)
+// The connection broke before the response or in it.
+bool mayHaveCrashed(const RunEnded &event)
 {
     if (event.end_ != RunEnd::Failed && event.end_ != RunEnd::Broken)
         return false;
     const bool noResponse = event.end_ == RunEnd::Failed && event.status_ == 0;
-    return noResponse || (event.responseBegun_ && !request.runStarted_);
+    return noResponse || event.responseBegun_;
 }
 
 // Reports a crash to a scheduler.
@@ -41,19 +41,24 @@
 void probeAfterFailure(const DirectState &state, Instant now, const DirectRequest &request,
                        const RunEnded &event, DirectEffects &effects)
 {
-    if (!mayHaveCrashed(request, event))
+    if (!mayHaveCrashed(event))
         return;
     const Suspect *suspect = findSuspect(state, request.digest_);
     addDecisionLine(effects, request, "crash",
                     "upstream=" + request.upstream_ + " digest=" + std::to_string(request.digest_)
-                        + " crashes_before=" + std::to_string(suspect ? suspect->crashes_ : 0));
+                        + " crashes_before=" + std::to_string(suspect ? suspect->crashes_ : 0)
+                        + " started=" + (request.runStarted_ ? "true" : "false"));
     const auto upstream = state.table_->availableUpstreams_.find(request.upstream_);
     if (upstream == state.table_->availableUpstreams_.end())
         return;
+    const bool isLeaving = usableFrom(state.notices_, *upstream->second, now) == Instant::max();
+    if (isLeaving)
+        return;
     ProbeUpstream probe{*upstream->second, request.digest_, {}, now};
     if (isPlanned(request))
-        probe.run_ = RunCrashed{request.call_.id_, request.upstream_, upstream->second->agentBoot_,
-                                request.call_.parts_, nanoseconds(0)};
+        probe.run_ =
+            RunCrashed{request.call_.id_,    request.upstream_, upstream->second->agentBoot_,
+                       request.call_.parts_, nanoseconds(0),    request.runStarted_};
     effects.push_back(std::move(probe));
 }
 
@@ -91,9 +96,11 @@
     }
 }
 
-void forgetCrashesOf(DirectState &state, const std::vector<std::string> &parts)
+void forgetCrashesOf(DirectState &state, const std::vector<std::string> &parts, SoundUntil until)
 {
     for (ReportedCrash &crash : state.reportedCrashes_) {
+        if (crash.report_.started_ && until == SoundUntil::FirstToken)
+            continue;
         std::erase_if(crash.report_.parts_, [&](const PromptPart &part) {
             return std::find(parts.begin(), parts.end(), part.id_) != parts.end();
         });
@@ -107,7 +114,7 @@
             std::any_of(newer.quarantines_.begin(), newer.quarantines_.end(),
                         [&](const Quarantine &item) { return item.id_ == old.id_; });
         if (!isInForce)
-            forgetCrashesOf(state, old.parts_);
+            forgetCrashesOf(state, old.parts_, SoundUntil::End);
     }
 }
 
--- a/packages/decision/src/direct/direct_runs.cpp
+++ b/packages/decision/src/direct/direct_runs.cpp
@@ -108,6 +108,17 @@
         effects.push_back(SubmitProposal{0, ClearSuspect{request.digest_}, withdrawalTimeout});
 }
 
+// Removes the prompt parts of a request from the crashes to be reported again.
+void clearPartsOf(DirectState &state, const DirectRequest &request, SoundUntil until)
+{
+    if (state.reportedCrashes_.empty())
+        return;
+    std::vector<std::string> parts;
+    for (const PromptPart &part : request.call_.parts_)
+        parts.push_back(part.id_);
+    forgetCrashesOf(state, parts, until);
+}
+
 // Records that a request continues without the latest run, which may have been executed.
 void abandonRun(DirectRequest &request, const std::string &lastEventId)
 {
@@ -296,6 +307,7 @@
     case RunEnd::Delivered:
         ++request->possibleExecutions_;
         clearIfSuspect(state, *request, event.status_, effects);
+        clearPartsOf(state, *request, SoundUntil::End);
         recordServiceTime(state, now, *request);
         notifyScheduler(*request, PlanOutcome::Served, "delivered", effects);
         finishRequest(state, now, event.token_, EndReason{"delivered"}, event.status_, effects);
@@ -360,12 +372,7 @@
         return;
     request->responseStarted_ = true;
     request->runStarted_ = true;
-    if (!state.reportedCrashes_.empty()) {
-        std::vector<std::string> parts;
-        for (const PromptPart &part : request->call_.parts_)
-            parts.push_back(part.id_);
-        forgetCrashesOf(state, parts);
-    }
+    clearPartsOf(state, *request, SoundUntil::FirstToken);
     if (!request->scheduler_.empty())
         effects.push_back(
             SendToPeer{request->scheduler_, PlanStarted{request->call_.id_, request->planRound_}});
--- a/packages/decision/src/scheduler/quarantine.cpp
+++ b/packages/decision/src/scheduler/quarantine.cpp
@@ -3,6 +3,7 @@
 #include "chervilspring/digest.hpp"
 
 #include <algorithm>
+#include <array>
 #include <iterator>
 #include <utility>
 
@@ -12,10 +13,10 @@
 
 // Moments with crashes of engines for which parts are quarantined.
 constexpr std::size_t crashLimit = 3;
-constexpr std::size_t unclearCrashLimit = 5; // if a part got first tokens lately, or has a rival
+constexpr std::size_t unclearCrashLimit = 5; // if a part was sound lately, or has a rival
 constexpr nanoseconds soundInterval = seconds(30);
 constexpr std::size_t maxSoundParts = 16384; // in an interval
-// Requests that have to get first tokens before a part without any counts as unproven.
+// Requests that have to be sound before a part that wasn't counts as unproven.
 constexpr std::size_t minSoundRequests = 64;
 constexpr nanoseconds sameCrashTime = seconds(1); // an engine takes longer to start
 // Engines that crash within this time count as one moment: the loss of a data centre ends all of
@@ -62,9 +63,11 @@
 void removeCrash(QuarantineTable &table, std::uint64_t number)
 {
     table.crashes_.erase(number);
-    for (auto &[part, numbers] : table.crashesByPart_)
-        numbers.erase(number);
-    std::erase_if(table.crashesByPart_, [](const auto &item) { return item.second.empty(); });
+    for (auto &[part, crashes] : table.crashesByPart_) {
+        crashes.all_.erase(number);
+        crashes.afterStart_.erase(number);
+    }
+    std::erase_if(table.crashesByPart_, [](const auto &item) { return item.second.all_.empty(); });
 }
 
 void removeOldCrashes(QuarantineTable &table, Instant now)
@@ -98,32 +101,39 @@
     return number;
 }
 
-void addSoundParts(QuarantineTable &table, Instant now, const std::vector<PromptPart> &parts)
+void addSoundParts(SoundHistory &history, Instant now, const std::vector<PromptPart> &parts)
 {
-    auto &[current, previous] = table.soundParts_;
-    if (now >= table.soundIntervalEndsAt_ || current.parts_.size() >= maxSoundParts) {
-        if (now >= table.soundIntervalEndsAt_ + soundInterval)
-            current = {};
-        previous = std::exchange(current, {});
-        table.soundIntervalEndsAt_ = now + soundInterval;
+    if (now >= history.intervalEndsAt_ || history.current_.parts_.size() >= maxSoundParts) {
+        if (now >= history.intervalEndsAt_ + soundInterval)
+            history.current_ = {};
+        history.previous_ = std::exchange(history.current_, {});
+        history.intervalEndsAt_ = now + soundInterval;
     }
-    ++current.requests_;
+    ++history.current_.requests_;
     for (std::size_t i = 0; i + 1 < parts.size(); ++i)
-        current.parts_.insert(parts[i].id_);
+        history.current_.parts_.insert(parts[i].id_);
+}
+
+bool wasSoundLately(const SoundHistory &history, const std::string &part)
+{
+    return history.current_.parts_.contains(part) || history.previous_.parts_.contains(part);
 }
 
-// Whether a part got first tokens lately.
-bool wasSoundLately(const QuarantineTable &table, const std::string &part)
+// What speaks against crashes before the first token, or after it.
+const SoundHistory &soundHistory(const QuarantineTable &table, bool afterStart)
 {
-    return std::any_of(table.soundParts_.begin(), table.soundParts_.end(),
-                       [&](const SoundParts &sound) { return sound.parts_.contains(part); });
+    return afterStart ? table.served_ : table.started_;
 }
 
-// As wasSoundLately(). Without enough first tokens to tell, each part may have been.
+// Whether a part was sound lately. Without enough sound requests to tell, each part may have been.
 bool mayBeSound(const QuarantineTable &table, const std::string &part)
 {
-    const auto &[current, previous] = table.soundParts_;
-    return current.requests_ + previous.requests_ < minSoundRequests || wasSoundLately(table, part);
+    const auto crashes = table.crashesByPart_.find(part);
+    const bool afterStart =
+        crashes != table.crashesByPart_.end() && !crashes->second.afterStart_.empty();
+    const SoundHistory &history = soundHistory(table, afterStart);
+    return history.current_.requests_ + history.previous_.requests_ < minSoundRequests
+        || wasSoundLately(history, part);
 }
 
 // A part that may crash engines, and how strongly it is suspected.
@@ -174,7 +184,8 @@
         return false;
     return std::any_of(
         table.crashesByPart_.begin(), table.crashesByPart_.end(), [&](const auto &item) {
-            const auto &[part, numbers] = item;
+            const auto &[part, partCrashes] = item;
+            const auto &numbers = partCrashes.all_;
             return std::includes(numbers.begin(), numbers.end(), crashes.begin(), last)
                 && !hasPart(parts, part) && !mayBeSound(table, part);
         });
@@ -189,7 +200,7 @@
         const auto found = table.crashesByPart_.find(part.id_);
         if (found == table.crashesByPart_.end())
             continue;
-        const Suspicion suspicion{!mayBeSound(table, part.id_), found->second};
+        const Suspicion suspicion{!mayBeSound(table, part.id_), found->second.all_};
         const auto &crashes = suspicion.crashes_;
         const bool isClear = suspicion.unproven_ && !hasRival(table, crashes, parts);
         if (countMoments(table, crashes) < (isClear ? crashLimit : unclearCrashLimit)
@@ -207,17 +218,19 @@
 {
     for (const std::uint64_t number : crashes)
         table.crashes_.at(number).explained_ = true;
-    for (auto &[part, numbers] : table.crashesByPart_) {
+    const auto isExplained = [&](std::uint64_t item) { return crashes.contains(item); };
+    for (auto &[part, partCrashes] : table.crashesByPart_) {
         if (std::find(parts.begin(), parts.end(), part) != parts.end())
             continue;
-        std::erase_if(numbers, [&](std::uint64_t item) { return crashes.contains(item); });
+        std::erase_if(partCrashes.all_, isExplained);
+        std::erase_if(partCrashes.afterStart_, isExplained);
     }
-    std::erase_if(table.crashesByPart_, [](const auto &item) { return item.second.empty(); });
+    std::erase_if(table.crashesByPart_, [](const auto &item) { return item.second.all_.empty(); });
 }
 
 // Quarantines parts, or narrows a quarantine that contains all of them.
 void addQuarantine(QuarantineTable &table, Instant now, const std::vector<std::string> &parts,
-                   std::size_t crashes)
+                   std::size_t crashes, bool afterStart)
 {
     const std::uint64_t id = contentDigest(partsText(parts));
     const auto known = std::find_if(
@@ -232,6 +245,7 @@
         active.record_.id_ = id;
     active.record_.parts_ = parts;
     active.record_.crashes_ = static_cast<std::uint32_t>(crashes);
+    active.record_.afterStart_ = active.record_.afterStart_ || afterStart;
     active.trialAt_ = nextTrialAt(active.record_, now);
     touch(active, now);
 }
@@ -239,12 +253,13 @@
 // Narrows a quarantine to the parts that a request which crashed its engine has, too. Its record
 // counts, also if another scheduler has made it.
 bool narrowQuarantine(QuarantineTable &table, Instant now, std::uint64_t number,
-                      const std::vector<PromptPart> &parts)
+                      const RunCrashed &crash)
 {
     for (ActiveQuarantine &active : table.active_) {
         std::vector<std::string> shared;
         for (const std::string &part : active.record_.parts_) {
-            if (hasPart(parts, part) && !wasSoundLately(table, part))
+            if (hasPart(crash.parts_, part)
+                && !wasSoundLately(soundHistory(table, crash.started_), part))
                 shared.push_back(part);
         }
         if (shared.empty())
@@ -252,12 +267,33 @@
         explainCrashes(table, {number}, shared);
         active.record_.parts_ = shared;
         ++active.record_.crashes_;
+        active.record_.afterStart_ = active.record_.afterStart_ || crash.started_;
         touch(active, now);
         return true;
     }
     return false;
 }
 
+// Removes sound parts from the quarantines: from all of them if a request with the parts was
+// served, else from those of engines that crash before the first token. Returns whether one
+// changed.
+bool clearSoundParts(QuarantineTable &table, Instant now, const std::vector<PromptPart> &parts,
+                     bool served)
+{
+    bool changed = false;
+    for (ActiveQuarantine &active : table.active_) {
+        if (active.record_.afterStart_ && !served)
+            continue;
+        const std::size_t removed = std::erase_if(
+            active.record_.parts_, [&](const std::string &id) { return hasPart(parts, id); });
+        if (removed == 0)
+            continue;
+        changed = true;
+        touch(active, now);
+    }
+    return changed;
+}
+
 } // namespace
 
 const Quarantine *findQuarantine(const std::vector<Quarantine> &quarantines,
@@ -323,8 +359,13 @@
     if (known != table.active_.end()) {
         explainCrashes(table, {number}, known->record_.parts_);
         ++known->record_.crashes_;
+        const bool isFirstAfterStart = crash.started_ && !known->record_.afterStart_;
+        if (isFirstAfterStart) {
+            known->record_.afterStart_ = true;
+            touch(*known, now);
+        }
         if (known->trialRequest_ != crash.id_)
-            return false;
+            return isFirstAfterStart;
         known->trialRequest_.clear();
         ++known->record_.trials_;
         known->trialAt_ = nextTrialAt(known->record_, now);
@@ -333,43 +374,54 @@
     }
     if (table.crashes_.at(number).explained_)
         return false;
-    if (narrowQuarantine(table, now, number, crash.parts_))
+    if (narrowQuarantine(table, now, number, crash))
         return true;
-    for (const PromptPart &part : crash.parts_)
-        table.crashesByPart_[part.id_].insert(number);
+    for (const PromptPart &part : crash.parts_) {
+        PartCrashes &crashes = table.crashesByPart_[part.id_];
+        crashes.all_.insert(number);
+        if (crash.started_)
+            crashes.afterStart_.insert(number);
+    }
     const auto suspicion = strongestSuspicion(table, crash.parts_);
     if (!suspicion)
         return false;
     std::vector<std::string> parts;
+    bool afterStart = false;
     for (const PromptPart &part : crash.parts_) {
         const bool unproven = !mayBeSound(table, part.id_);
-        if (table.crashesByPart_.at(part.id_) == suspicion->crashes_
-            && unproven == suspicion->unproven_ && parts.size() < maxQuarantinedParts)
-            parts.push_back(part.id_);
+        const PartCrashes &crashes = table.crashesByPart_.at(part.id_);
+        if (crashes.all_ != suspicion->crashes_ || unproven != suspicion->unproven_
+            || parts.size() == maxQuarantinedParts)
+            continue;
+        parts.push_back(part.id_);
+        afterStart = afterStart || !crashes.afterStart_.empty();
     }
     std::sort(parts.begin(), parts.end());
     explainCrashes(table, suspicion->crashes_, parts);
-    addQuarantine(table, now, parts, suspicion->crashes_.size());
+    addQuarantine(table, now, parts, suspicion->crashes_.size(), afterStart);
     return true;
 }
 
 bool recordStart(QuarantineTable &table, Instant now, const std::vector<PromptPart> &parts)
 {
-    addSoundParts(table, now, parts);
-    if (table.crashesByPart_.empty() && table.active_.empty())
-        return false;
-    for (const PromptPart &part : parts)
-        table.crashesByPart_.erase(part.id_);
-    bool changed = false;
-    for (ActiveQuarantine &active : table.active_) {
-        const std::size_t removed = std::erase_if(
-            active.record_.parts_, [&](const std::string &id) { return hasPart(parts, id); });
-        if (removed == 0)
+    addSoundParts(table.started_, now, parts);
+    for (const PromptPart &part : parts) {
+        const auto found = table.crashesByPart_.find(part.id_);
+        if (found == table.crashesByPart_.end())
             continue;
-        changed = true;
-        touch(active, now);
+        found->second.all_ = found->second.afterStart_;
+        if (found->second.all_.empty())
+            table.crashesByPart_.erase(found);
     }
-    return changed;
+    return clearSoundParts(table, now, parts, false);
+}
+
+bool recordServed(QuarantineTable &table, Instant now, const std::vector<PromptPart> &parts)
+{
+    addSoundParts(table.served_, now, parts);
+    for (const PromptPart &part : parts)
+        table.crashesByPart_.erase(part.id_);
+    return clearSoundParts(table, now, parts, true);
 }
 
 void applyQuarantines(QuarantineTable &table, Instant now,
--- a/packages/decision/src/scheduler/scheduler.cpp
+++ b/packages/decision/src/scheduler/scheduler.cpp
@@ -179,7 +179,7 @@
         return;
     endEngineRun(state, now, *job, end.engineFailed_);
     if (end.served_)
-        noteFirstToken(state, now, *job, effects);
+        noteServed(state, now, *job, effects);
     if (!end.moved_)
         freeAllResults(state, now, *job, effects);
     eraseJob(state, id);
--- a/packages/decision/src/scheduler/scheduler_quarantine.cpp
+++ b/packages/decision/src/scheduler/scheduler_quarantine.cpp
@@ -53,10 +53,11 @@
                   SchedulerEffects &effects)
 {
     const bool changed = recordCrash(state.quarantines_, now, crash);
-    effects.push_back(DecisionLine{"decision=engine_crashed request=" + crash.id_ + " upstream="
-                                   + crash.upstream_ + " boot=" + std::to_string(crash.agentBoot_)
-                                   + " parts=" + partsText(crash.parts_)
-                                   + " quarantines_changed=" + (changed ? "true" : "false")});
+    effects.push_back(DecisionLine{
+        "decision=engine_crashed request=" + crash.id_ + " upstream=" + crash.upstream_ + " boot="
+        + std::to_string(crash.agentBoot_) + " started=" + (crash.started_ ? "true" : "false")
+        + " ago_ms=" + millisecondsText(crash.ago_) + " parts=" + partsText(crash.parts_)
+        + " quarantines_changed=" + (changed ? "true" : "false")});
     if (changed)
         refuseQuarantined(state, now, effects);
 }
@@ -69,6 +70,13 @@
         addDecisionLine(effects, job, "sound parts=" + partsText(job.request_.parts_));
 }
 
+void noteServed(SchedulerState &state, Instant now, Job &job, SchedulerEffects &effects)
+{
+    noteFirstToken(state, now, job, effects);
+    if (recordServed(state.quarantines_, now, job.request_.parts_))
+        addDecisionLine(effects, job, "sound parts=" + partsText(job.request_.parts_));
+}
+
 void updateQuarantines(SchedulerState &state, Instant now, SchedulerEffects &effects)
 {
     applyQuarantines(state.quarantines_, now, state.view_->quarantines_);
--- a/packages/decision/tests/unit-direct.cpp
+++ b/packages/decision/tests/unit-direct.cpp
@@ -646,7 +646,8 @@
     {"cut head", false, RunEnd::Failed, 0, true, true, true},
     {"head without events", false, RunEnd::Failed, 200, true, true, true},
     {"head of a resumed run without events", false, RunEnd::Broken, 200, true, true, true},
-    {"cut after an event", true, RunEnd::Broken, 200, true, false, false},
+    {"cut after an event", true, RunEnd::Broken, 200, true, true, true},
+    {"cut after an event, before the caller got it", true, RunEnd::Failed, 200, true, true, true},
     {"response to another request", false, RunEnd::Failed, 200, false, false, false},
     {"time limit", false, RunEnd::TimedOut, 200, true, false, false},
     {"not executed", false, RunEnd::NotExecuted, 503, false, false, false},
@@ -661,8 +662,7 @@
     });
 }
 
-BOOST_DATA_TEST_CASE(run_that_crashes_its_engine_before_the_first_event_is_reported,
-                     data::make(crashTable), row)
+BOOST_DATA_TEST_CASE(run_that_crashes_its_engine_is_reported, data::make(crashTable), row)
 {
     DirectFixture fixture;
     fixture.call("stream");
@@ -677,7 +677,10 @@
         UpstreamProbed probed{"engine-1", probe.digest_, true, probe.run_};
         BOOST_TEST(!reportsCrash(fixture.handle(probed)));
         probed.reachable_ = false;
-        BOOST_TEST(reportsCrash(fixture.handle(probed)) == row.reported_);
+        const auto effects = fixture.handle(probed);
+        BOOST_TEST(reportsCrash(effects) == row.reported_);
+        for (const SendToPeer &sent : effectsOf<SendToPeer>(effects))
+            BOOST_TEST(std::get<RunCrashed>(sent.message_).started_ == row.started_);
     }
 }
 
--- a/packages/decision/tests/unit-quarantine.cpp
+++ b/packages/decision/tests/unit-quarantine.cpp
@@ -31,11 +31,14 @@
 public:
     explicit Session(int requestsBefore = historyRequests)
     {
-        for (int i = 0; i < requestsBefore; ++i)
+        for (int i = 0; i < requestsBefore; ++i) {
             recordStart(table_, now_, partsOf("warm w" + std::to_string(i)));
+            recordServed(table_, now_, partsOf("warm w" + std::to_string(i)));
+        }
     }
 
-    /// Handles "!" for a crash of another engine or "+" for a first token, followed by the parts.
+    /// Handles "!" for a crash of another engine before the first token, "~" for one after it, "+"
+    /// for a first token or "=" for a whole response, followed by the parts.
     void handle(const std::string &step)
     {
         now_ += seconds(1);
@@ -43,13 +46,22 @@
             recordStart(table_, now_, partsOf(step.substr(1)));
             return;
         }
-        crash(step.substr(1), "engine-" + std::to_string(++engines_));
+        if (step[0] == '=') {
+            recordStart(table_, now_, partsOf(step.substr(1)));
+            recordServed(table_, now_, partsOf(step.substr(1)));
+            return;
+        }
+        const bool started = step[0] == '~';
+        if (started)
+            recordStart(table_, now_, partsOf(step.substr(1)));
+        crash(step.substr(1), "engine-" + std::to_string(++engines_), started);
     }
 
-    void crash(const std::string &parts, const std::string &engine)
+    void crash(const std::string &parts, const std::string &engine, bool started = false)
     {
         recordCrash(table_, now_,
-                    RunCrashed{"id" + std::to_string(++requests_), engine, 1, partsOf(parts)});
+                    RunCrashed{"id" + std::to_string(++requests_), engine, 1, partsOf(parts),
+                               nanoseconds(0), started});
     }
 
     bool isRefused(const std::string &parts) const
@@ -145,6 +157,27 @@
      {"!common bad l1", "!common bad l2", "+common bad l3", "!common bad l4"},
      {},
      {"common bad l5"}},
+    {"a part that crashes engines after the first token",
+     {"=common l0", "~common bad l1", "~common bad l2", "=common l3", "~common bad l4"},
+     {"common bad l5", "bad"},
+     {"common l6"}},
+    {"a part that crashes engines now before and now after the first token",
+     {"=common l0", "~common bad l1", "!common bad l2", "~common bad l3", "=common l4",
+      "!common bad l5", "~common bad l6"},
+     {"common bad l7"},
+     {"common l8"}},
+    {"streams of sound requests that crashes of others have cut",
+     {"~common doc l1", "=common doc l2", "~common doc l3", "=common doc l4", "~common doc l5"},
+     {},
+     {"common doc l6"}},
+    {"a first token proves nothing about crashes after it",
+     {"=common l0", "~common bad l1", "~common bad l2", "~common bad l3", "+common bad l4"},
+     {"common bad l5"},
+     {"common l6"}},
+    {"a whole response proves a part sound",
+     {"=common l0", "~common bad l1", "~common bad l2", "~common bad l3", "=common bad l4"},
+     {},
+     {"common bad l5"}},
 };
 
 BOOST_DATA_TEST_CASE(only_parts_that_explain_crashes_are_refused, data::make(blameTable), row)
@@ -314,6 +347,19 @@
     return session;
 }
 
+BOOST_AUTO_TEST_CASE(
+    quarantine_learns_from_a_running_stream_that_engines_crash_after_the_first_token)
+{
+    Session session = quarantinedSession();
+    session.crash("common bad l4", "engine-x", true);
+    session.handle("+common bad l5");
+    BOOST_TEST(session.isRefused("common bad l6"));
+    BOOST_TEST(session.store().size() == 1u);
+    BOOST_TEST(session.stored_.at(0).afterStart_);
+    session.handle("=common bad l7");
+    BOOST_TEST(!session.isRefused("common bad l8"));
+}
+
 BOOST_AUTO_TEST_CASE(quarantine_is_proposed_until_it_is_stored)
 {
     Session session;
--- a/packages/server/include/chervilspring/detail/net/run_client.hpp
+++ b/packages/server/include/chervilspring/detail/net/run_client.hpp
@@ -65,8 +65,7 @@
     using RunPointer = std::shared_ptr<Run>;
     using RunKey = std::pair<std::uint64_t, std::uint32_t>; ///< token and attempt
 
-    boost::asio::awaitable<void> tryConnect(Upstream upstream,
-                                            std::function<void(bool reachable)> done);
+    boost::asio::awaitable<void> tryConnect(Upstream upstream);
     boost::asio::awaitable<void> perform(RunPointer run);
     static void closeConnection(Run &run);
     static RunEnded failedRun(const Run &run, const std::string &reason);
@@ -96,6 +95,8 @@
     std::shared_ptr<std::size_t> heldBytes_ = std::make_shared<std::size_t>(0);
     /// Complete answers that await the decision to deliver or discard them.
     std::map<RunKey, std::unique_ptr<HeldAnswer>> heldAnswers_;
+    /// Whom to tell the results of the probes in progress, by key of the connection.
+    std::map<std::string, std::vector<std::function<void(bool reachable)>>> probes_;
     std::uint64_t connectionsOpened_ = 0;
 };
 
--- a/packages/server/src/run_client.cpp
+++ b/packages/server/src/run_client.cpp
@@ -140,18 +140,23 @@
 
 void RunClient::probe(const Upstream &upstream, std::function<void(bool reachable)> done)
 {
-    asio::co_spawn(context_, tryConnect(upstream, std::move(done)), LogException{"probe"});
+    // A crash ends many runs at once; one connection tells for all of them.
+    auto &waiting = probes_[connectionKey(upstream)];
+    waiting.push_back(std::move(done));
+    if (waiting.size() == 1)
+        asio::co_spawn(context_, tryConnect(upstream), LogException{"probe"});
 }
 
-asio::awaitable<void> RunClient::tryConnect(Upstream upstream,
-                                            std::function<void(bool reachable)> done)
+asio::awaitable<void> RunClient::tryConnect(Upstream upstream)
 {
     co_await asio::post(context_, use_awaitable); // the result is never reported within probe()
     beast::tcp_stream stream(context_);
     stream.expires_after(connectTimeout);
     boost::system::error_code error;
     co_await connectTo(stream, upstream.agentAddress_, upstream.agentPort_, error);
-    done(!error);
+    const auto probe = probes_.extract(connectionKey(upstream));
+    for (const auto &done : probe.mapped())
+        done(!error);
 }
 
 void RunClient::closeConnection(Run &run)
--- a/packages/wire/schema/fleet.capnp
+++ b/packages/wire/schema/fleet.capnp
@@ -201,6 +201,7 @@
   parts @1 :List(Text);
   crashes @2 :UInt32;
   trials @3 :UInt32;
+  afterStart @4 :Bool;
 }
 
 struct View {
@@ -612,6 +613,7 @@
   agentBoot @2 :UInt64;
   parts @3 :List(PromptPart);
   ago @4 :Int64;
+  started @5 :Bool;
 }
 
 struct Command {
