An upstream with a new boot id has crashed, although its address accepts connections

Callers saw: requests on which servers crash were sent on if the servers were up again at once; 20 crashes, 6 of them later than 2 s after the fifth (prompt part), 20 and 8 later than 3 s after the third (whole requests).

Cause: the probe after a broken connection took somebody who accepts connections for the process that broke it. A restarted server, or a supervisor that holds the listening socket, answers as well. Evidence: 14 of 20 lines crash_checked with reachable=true, while each of these engines had crashed.

Change: a run keeps the boot id at which it was started. A broken run whose upstream accepts connections is remembered for 5 s; if the upstream is then listed with another boot id, the run is reported like any other crash. No probe or request more than before. Crashes of one engine in quick succession count each if the later run began after the earlier crash: the entry may not know the new boot id yet.

--- a/packages/core/include/chervilspring/messages.hpp
+++ b/packages/core/include/chervilspring/messages.hpp
@@ -665,9 +665,11 @@
     std::uint64_t agentBoot_ = 0; ///< boot id of the engine
     std::vector<PromptPart> parts_; ///< parts of the prompt, in prompt order
     nanoseconds ago_{0}; ///< time since the run ended
+    nanoseconds runTime_{0}; ///< from the start of the run to its end
     bool started_ = false; ///< the run had sent its first token
 };
-BOOST_DESCRIBE_STRUCT(RunCrashed, (), (id_, upstream_, agentBoot_, parts_, ago_, started_))
+BOOST_DESCRIBE_STRUCT(RunCrashed, (),
+                      (id_, upstream_, agentBoot_, parts_, ago_, runTime_, started_))
 
 /// @brief Message of a frame. New alternatives have to be added at the end.
 using Message =
--- a/packages/decision/include/chervilspring/detail/direct/direct.hpp
+++ b/packages/decision/include/chervilspring/detail/direct/direct.hpp
@@ -90,14 +90,21 @@
     nanoseconds silence_{0}; ///< time since the last bytes arrived
 };
 
+/// @brief A run whose connection broke, which may have crashed its upstream.
+struct BrokenRun
+{
+    std::string upstream_; ///< name of the upstream
+    std::uint64_t boot_ = 0; ///< boot id of the upstream when the run was started
+    std::uint64_t digest_ = 0; ///< DirectRequest::digest_ of the request
+    std::optional<RunCrashed> report_; ///< for the scheduler; set if the request was planned
+    Instant endedAt_{};
+};
+
 /// @brief Event: result of probing whether an upstream accepts connections after it broke one.
 struct UpstreamProbed
 {
-    std::string upstream_; ///< name of the upstream
-    std::uint64_t digest_ = 0; ///< DirectRequest::digest_ of the request that ran there
+    BrokenRun run_; ///< as in ProbeUpstream
     bool reachable_ = false; ///< the upstream accepts connections
-    std::optional<RunCrashed> run_; ///< as in ProbeUpstream
-    Instant failedAt_{}; ///< as in ProbeUpstream
 };
 
 /// @brief Event: the process was told to stop.
@@ -162,9 +169,7 @@
 struct ProbeUpstream
 {
     Upstream upstream_;
-    std::uint64_t digest_ = 0; ///< copied to UpstreamProbed::digest_
-    std::optional<RunCrashed> run_; ///< set for a planned run; copied to UpstreamProbed::run_
-    Instant failedAt_{}; ///< end of the run; copied to UpstreamProbed::failedAt_
+    BrokenRun run_; ///< copied to UpstreamProbed::run_
 };
 
 /// @brief Effect: the request is finished; no further effects follow for it.
@@ -226,6 +231,7 @@
     std::uint32_t planRound_ = 0; ///< number of plan requests for this request
     std::string scheduler_; ///< name of the scheduler that was asked last; empty: none
     std::string upstream_; ///< name of the upstream of the latest run; empty: none
+    std::uint64_t upstreamBoot_ = 0; ///< its boot id at the start of the run
     Instant runStartedAt_{}; ///< start of the latest run
     std::vector<std::string> avoidedUpstreams_; ///< names; used only if there is no other
     std::string lastEventId_; ///< id of the last event sent to the caller; empty: none
@@ -259,6 +265,9 @@
     std::set<std::pair<Instant, std::uint64_t>> startDeadlines_;
     /// Limited number of the newest crashes, oldest first. A new leader is told of them.
     std::deque<ReportedCrash> reportedCrashes_;
+    /// Limited number of the newest broken runs whose upstreams accept connections, oldest first.
+    /// A new boot of the upstream will show that it has crashed.
+    std::deque<BrokenRun> unexplainedBreaks_;
     Instant replanAt_ = Instant::max(); ///< when requests without a scheduler are planned again
     UpstreamTable upstreamStats_;
     NoticeTable notices_; ///< upstreams that leave or want no requests for a while
--- a/packages/decision/include/chervilspring/detail/direct/direct_steps.hpp
+++ b/packages/decision/include/chervilspring/detail/direct/direct_steps.hpp
@@ -118,16 +118,22 @@
 bool failIfCrashedTooOften(DirectState &state, Instant now, const DirectRequest &request,
                            DirectEffects &effects);
 
-/// @brief Probes the upstream of a failed run that may have crashed it.
+/// @brief Finds out whether a failed run has crashed its upstream.
 ///
-/// An upstream that only lost a response still accepts connections.
-void probeAfterFailure(const DirectState &state, Instant now, const DirectRequest &request,
-                       const RunEnded &event, DirectEffects &effects);
+/// An upstream that is listed with another boot id has crashed. Otherwise it is probed: one that
+/// only lost a response still accepts connections.
+void checkForCrash(DirectState &state, Instant now, const DirectRequest &request,
+                   const RunEnded &event, DirectEffects &effects);
 
-/// @brief Reports a crash to the fleet if the probed upstream is unreachable.
+/// @brief Reports a crash to the fleet if the probed upstream is unreachable. One that accepts
+/// connections may have restarted, or another process may hold its socket: its next boot id tells.
 void onUpstreamProbed(DirectState &state, Instant now, const UpstreamProbed &event,
                       DirectEffects &effects);
 
+/// @brief Reports the crashes of upstreams that are listed with another boot id now than when they
+/// broke a connection.
+void reportRestarted(DirectState &state, Instant now, DirectEffects &effects);
+
 /// @brief Tells a new leader of the crashes that former ones were told of.
 void repeatCrashReports(DirectState &state, Instant now, DirectEffects &effects);
 
--- a/packages/decision/src/direct/direct_crashes.cpp
+++ b/packages/decision/src/direct/direct_crashes.cpp
@@ -10,6 +10,10 @@
 constexpr nanoseconds reportTimeout = seconds(30);
 constexpr std::size_t maxReportedCrashes = 8; // that are reported again
 constexpr nanoseconds reportLifetime = minutes(10); // as schedulers remember crashes
+constexpr std::size_t maxUnexplainedBreaks = 512;
+// Time in which a restarted upstream announces itself and the next view arrives. A later restart is
+// taken for one with another cause.
+constexpr nanoseconds restartNoticeTime = seconds(5);
 
 // The connection broke before the response or in it.
 bool mayHaveCrashed(const RunEnded &event)
@@ -36,16 +40,45 @@
         state.reportedCrashes_.pop_front();
 }
 
+// Reports a run that has crashed its upstream.
+// @param evidence key=value pair for the log
+void reportCrash(DirectState &state, Instant now, const BrokenRun &run, const std::string &evidence,
+                 DirectEffects &effects)
+{
+    const std::string scheduler = run.report_ ? chooseScheduler(state, now) : std::string();
+    effects.push_back(DecisionLine{
+        "decision=crash_checked upstream=" + run.upstream_ + " boot=" + std::to_string(run.boot_)
+        + " digest=" + std::to_string(run.digest_) + " " + evidence + " reported_to=" + scheduler});
+    effects.push_back(
+        SubmitProposal{0, ReportCrash{run.digest_, run.upstream_, false}, reportTimeout});
+    if (!run.report_)
+        return;
+    const ReportedCrash crash{*run.report_, run.endedAt_};
+    keepReport(state, crash);
+    if (!scheduler.empty())
+        sendReport(now, scheduler, crash, effects);
+}
+
+// Whether an upstream is listed with another boot id than when a run was started.
+bool hasRestarted(const DirectState &state, const BrokenRun &run)
+{
+    const auto listed = state.table_->availableUpstreams_.find(run.upstream_);
+    return listed != state.table_->availableUpstreams_.end()
+        && listed->second->agentBoot_ != run.boot_;
+}
+
 } // namespace
 
-void probeAfterFailure(const DirectState &state, Instant now, const DirectRequest &request,
-                       const RunEnded &event, DirectEffects &effects)
+void checkForCrash(DirectState &state, Instant now, const DirectRequest &request,
+                   const RunEnded &event, DirectEffects &effects)
 {
     if (!mayHaveCrashed(event))
         return;
     const Suspect *suspect = findSuspect(state, request.digest_);
     addDecisionLine(effects, request, "crash",
-                    "upstream=" + request.upstream_ + " digest=" + std::to_string(request.digest_)
+                    "upstream=" + request.upstream_
+                        + " boot=" + std::to_string(request.upstreamBoot_)
+                        + " digest=" + std::to_string(request.digest_)
                         + " crashes_before=" + std::to_string(suspect ? suspect->crashes_ : 0)
                         + " started=" + (request.runStarted_ ? "true" : "false"));
     const auto upstream = state.table_->availableUpstreams_.find(request.upstream_);
@@ -54,33 +87,50 @@
     const bool isLeaving = usableFrom(state.notices_, *upstream->second, now) == Instant::max();
     if (isLeaving)
         return;
-    ProbeUpstream probe{*upstream->second, request.digest_, {}, now};
+    BrokenRun run{request.upstream_, request.upstreamBoot_, request.digest_, {}, now};
     if (isPlanned(request))
-        probe.run_ =
-            RunCrashed{request.call_.id_,    request.upstream_, upstream->second->agentBoot_,
-                       request.call_.parts_, nanoseconds(0),    request.runStarted_};
-    effects.push_back(std::move(probe));
+        run.report_ =
+            RunCrashed{request.call_.id_,    request.upstream_, request.upstreamBoot_,
+                       request.call_.parts_, nanoseconds(0),    now - request.runStartedAt_,
+                       request.runStarted_};
+    if (hasRestarted(state, run))
+        reportCrash(state, now, run, "restarted=true", effects);
+    else
+        effects.push_back(ProbeUpstream{*upstream->second, std::move(run)});
 }
 
 void onUpstreamProbed(DirectState &state, Instant now, const UpstreamProbed &event,
                       DirectEffects &effects)
 {
-    const bool reported = event.run_ && !event.reachable_;
-    const std::string scheduler = reported ? chooseScheduler(state, now) : std::string();
-    effects.push_back(DecisionLine{"decision=crash_checked upstream=" + event.upstream_
-                                   + " digest=" + std::to_string(event.digest_)
-                                   + " reachable=" + (event.reachable_ ? "true" : "false")
-                                   + " reported_to=" + scheduler});
-    if (event.reachable_)
+    const BrokenRun &run = event.run_;
+    if (!event.reachable_) {
+        reportCrash(state, now, run, "reachable=false", effects);
         return;
-    effects.push_back(
-        SubmitProposal{0, ReportCrash{event.digest_, event.upstream_, false}, reportTimeout});
-    if (!reported)
+    }
+    if (hasRestarted(state, run)) {
+        reportCrash(state, now, run, "restarted=true", effects);
         return;
-    const ReportedCrash crash{*event.run_, event.failedAt_};
-    keepReport(state, crash);
-    if (!scheduler.empty())
-        sendReport(now, scheduler, crash, effects);
+    }
+    effects.push_back(DecisionLine{"decision=crash_checked upstream=" + run.upstream_
+                                   + " boot=" + std::to_string(run.boot_) + " digest="
+                                   + std::to_string(run.digest_) + " reachable=true reported_to="});
+    state.unexplainedBreaks_.push_back(run);
+    if (state.unexplainedBreaks_.size() > maxUnexplainedBreaks)
+        state.unexplainedBreaks_.pop_front();
+}
+
+void reportRestarted(DirectState &state, Instant now, DirectEffects &effects)
+{
+    std::deque<BrokenRun> unexplained;
+    for (BrokenRun &run : state.unexplainedBreaks_) {
+        if (now - run.endedAt_ > restartNoticeTime)
+            continue;
+        if (hasRestarted(state, run))
+            reportCrash(state, now, run, "restarted=true", effects);
+        else
+            unexplained.push_back(std::move(run));
+    }
+    state.unexplainedBreaks_ = std::move(unexplained);
 }
 
 void repeatCrashReports(DirectState &state, Instant now, DirectEffects &effects)
--- a/packages/decision/src/direct/direct_planning.cpp
+++ b/packages/decision/src/direct/direct_planning.cpp
@@ -268,6 +268,8 @@
         return;
     forgetLiftedCrashes(state, *event.view_);
     state.table_ = makeRouteTable(event.view_);
+    if (!state.unexplainedBreaks_.empty())
+        reportRestarted(state, now, effects);
     removeUnlisted(state.upstreamStats_, *state.table_);
     removeUnlistedRoutes(state);
 }
--- a/packages/decision/src/direct/direct_runs.cpp
+++ b/packages/decision/src/direct/direct_runs.cpp
@@ -166,7 +166,7 @@
                     "upstream=" + request.upstream_
                         + " took_ms=" + millisecondsText(now - request.runStartedAt_)
                         + " last_event=" + request.lastEventId_ + " detail=" + event.detail_);
-    probeAfterFailure(state, now, request, event, effects);
+    checkForCrash(state, now, request, event, effects);
     const bool allowed = isRepeatable(request) && event.resumable_
         && request.possibleExecutions_ < request.route_->maxAttempts_;
     if (allowed && tryUseRetry(state, now, request)) {
@@ -232,6 +232,7 @@
         countRequest(state.retryWindows_[request.pool_], retryLimit(state, now), now);
     ++request.attempt_;
     request.upstream_ = upstream.name_;
+    request.upstreamBoot_ = upstream.agentBoot_;
     request.runStartedAt_ = now;
     request.runStarted_ = false;
     request.phase_ = DirectPhase::Running;
--- a/packages/decision/src/scheduler/quarantine.cpp
+++ b/packages/decision/src/scheduler/quarantine.cpp
@@ -79,7 +79,8 @@
 }
 
 // Returns the number of the crash that a report belongs to, or nothing if it was reported before.
-// Other runs that the same crash ended are reported within a moment.
+// Other runs that the same crash ended are reported within a moment. A run that began after it
+// ended with another crash: the engine has restarted, and the entry didn't know its new boot id.
 std::optional<std::uint64_t> findOrAddCrash(QuarantineTable &table, Instant now,
                                             const RunCrashed &report)
 {
@@ -90,7 +91,9 @@
             continue;
         if (crash.requests_.contains(report.id_))
             return std::nullopt;
-        if (std::max(at - crash.at_, crash.at_ - at) < sameCrashTime)
+        const bool isSame = std::max(at - crash.at_, crash.at_ - at) < sameCrashTime
+            && at - report.runTime_ < crash.at_;
+        if (isSame)
             number = known;
     }
     if (number == 0) {
--- a/packages/decision/tests/unit-direct.cpp
+++ b/packages/decision/tests/unit-direct.cpp
@@ -559,11 +559,11 @@
     const auto effects = fixture.handle(RunEnded{1, 1, RunEnd::Failed, 0, "", "reset"});
     BOOST_TEST(effectsOf<SubmitProposal>(effects).empty());
     BOOST_REQUIRE(effectsOf<ProbeUpstream>(effects).size() == 1u);
-    const std::uint64_t digest = effectsOf<ProbeUpstream>(effects)[0].digest_;
+    const BrokenRun run = effectsOf<ProbeUpstream>(effects)[0].run_;
+    const std::uint64_t digest = run.digest_;
     // An upstream that still accepts connections lost a response but did not crash.
-    BOOST_TEST(
-        effectsOf<SubmitProposal>(fixture.handle(UpstreamProbed{"plain-1", digest, true})).empty());
-    const auto down = fixture.handle(UpstreamProbed{"plain-1", digest, false});
+    BOOST_TEST(effectsOf<SubmitProposal>(fixture.handle(UpstreamProbed{run, true})).empty());
+    const auto down = fixture.handle(UpstreamProbed{run, false});
     BOOST_REQUIRE(effectsOf<SubmitProposal>(down).size() == 1u);
     BOOST_TEST(std::get<ReportCrash>(effectsOf<SubmitProposal>(down)[0].command_).digest_
                == digest);
@@ -620,7 +620,7 @@
 {
     constexpr nanoseconds longestRecovery = seconds(15); // without a leader, by the users' bounds
     DirectFixture fixture;
-    const auto effects = fixture.handle(UpstreamProbed{"plain-1", 5, false});
+    const auto effects = fixture.handle(UpstreamProbed{BrokenRun{"plain-1", 1, 5, {}, {}}, false});
     BOOST_REQUIRE(effectsOf<SubmitProposal>(effects).size() == 1u);
     BOOST_TEST((effectsOf<SubmitProposal>(effects)[0].patience_ > longestRecovery));
 }
@@ -674,7 +674,7 @@
     const auto probes = effectsOf<ProbeUpstream>(fixture.handle(end));
     BOOST_TEST(probes.size() == (row.probed_ ? 1u : 0u));
     for (const ProbeUpstream &probe : probes) {
-        UpstreamProbed probed{"engine-1", probe.digest_, true, probe.run_};
+        UpstreamProbed probed{probe.run_, true};
         BOOST_TEST(!reportsCrash(fixture.handle(probed)));
         probed.reachable_ = false;
         const auto effects = fixture.handle(probed);
@@ -684,6 +684,87 @@
     }
 }
 
+ViewChanged leaderView(const DirectFixture &fixture, const std::string &leader)
+{
+    ViewChanged changed;
+    changed.view_ = fixture.state_.table_->view_;
+    changed.leader_ = leader;
+    changed.controlNames_ = {"c1", "c2"};
+    return changed;
+}
+
+struct RestartRow
+{
+    const char *name_;
+    nanoseconds noticedAfter_; ///< time from the broken run to the view with the new boot id
+    std::uint64_t bootsAhead_; ///< difference of the boot ids; 0: the upstream lives
+    bool beforeProbe_; ///< the view comes before the result of the probe
+    bool reported_;
+};
+
+std::ostream &operator<<(std::ostream &stream, const RestartRow &row)
+{
+    return stream << row.name_;
+}
+
+const RestartRow restartTable[] = {
+    {"restarted at once", milliseconds(400), 1, false, true},
+    {"the view is quicker than the probe", milliseconds(1), 1, true, true},
+    {"restarted twice", seconds(3), 2, false, true},
+    {"same process", milliseconds(400), 0, false, false},
+    {"restarted long after", seconds(6), 1, false, false},
+};
+
+// The probe of a crashed upstream reaches its successor, or a supervisor that holds its socket.
+BOOST_DATA_TEST_CASE(upstream_that_accepts_connections_with_a_new_boot_id_has_crashed,
+                     data::make(restartTable), row)
+{
+    for (const bool planned : {false, true}) {
+        DirectFixture fixture;
+        fixture.call(planned ? "stream" : "unsafe");
+        if (planned)
+            fixture.grant("engine-1");
+        RunEnded end{1, 1, RunEnd::Failed, 0, "", ""};
+        const auto probes = effectsOf<ProbeUpstream>(fixture.handle(end));
+        BOOST_REQUIRE(probes.size() == 1u);
+        const auto showView = [&] {
+            fixture.now_ += row.noticedAfter_;
+            auto view = std::make_shared<View>(*fixture.state_.table_->view_);
+            ++view->version_;
+            for (Upstream &upstream : view->upstreams_)
+                upstream.agentBoot_ += row.bootsAhead_;
+            ViewChanged changed = leaderView(fixture, "c1");
+            changed.view_ = view;
+            return fixture.handle(changed);
+        };
+        DirectEffects effects;
+        if (row.beforeProbe_)
+            effects = showView();
+        const auto probed = fixture.handle(UpstreamProbed{probes[0].run_, true});
+        BOOST_TEST(effectsOf<SubmitProposal>(effects).empty());
+        effects.insert(effects.end(), probed.begin(), probed.end());
+        if (!row.beforeProbe_) {
+            BOOST_TEST(effectsOf<SubmitProposal>(probed).empty());
+            const auto later = showView();
+            effects.insert(effects.end(), later.begin(), later.end());
+        }
+        BOOST_TEST(effectsOf<SubmitProposal>(effects).size() == (row.reported_ ? 1u : 0u));
+        BOOST_TEST(reportsCrash(effects) == (row.reported_ && planned));
+        BOOST_TEST(effectsOf<SubmitProposal>(showView()).empty()); // reported once
+    }
+}
+
+BOOST_AUTO_TEST_CASE(run_that_breaks_at_an_engine_that_leaves_is_no_crash)
+{
+    DirectFixture fixture;
+    fixture.call("stream");
+    fixture.grant("engine-1");
+    const Upstream engine = *fixture.state_.table_->availableUpstreams_.at("engine-1");
+    fixture.handle(UpstreamNoticed{engine, UpstreamNotice{true, nanoseconds(0)}});
+    const auto effects = fixture.handle(RunEnded{1, 1, RunEnd::Failed, 0, "", ""});
+    BOOST_TEST(effectsOf<ProbeUpstream>(effects).empty());
+}
+
 // Returns the requests whose crashes were reported to a scheduler.
 std::vector<std::string> reportedTo(const DirectEffects &effects, const std::string &scheduler)
 {
@@ -706,17 +787,7 @@
     end.responseBegun_ = true;
     const auto probes = effectsOf<ProbeUpstream>(fixture.handle(end));
     BOOST_REQUIRE(probes.size() == 1u);
-    fixture.handle(
-        UpstreamProbed{"engine-1", probes[0].digest_, false, probes[0].run_, probes[0].failedAt_});
-}
-
-ViewChanged leaderView(const DirectFixture &fixture, const std::string &leader)
-{
-    ViewChanged changed;
-    changed.view_ = fixture.state_.table_->view_;
-    changed.leader_ = leader;
-    changed.controlNames_ = {"c1", "c2"};
-    return changed;
+    fixture.handle(UpstreamProbed{probes[0].run_, false});
 }
 
 // The scheduler at the former leader was the only one that had counted them.
--- a/packages/decision/tests/unit-quarantine.cpp
+++ b/packages/decision/tests/unit-quarantine.cpp
@@ -61,7 +61,7 @@
     {
         recordCrash(table_, now_,
                     RunCrashed{"id" + std::to_string(++requests_), engine, 1, partsOf(parts),
-                               nanoseconds(0), started});
+                               nanoseconds(0), milliseconds(50), started});
     }
 
     bool isRefused(const std::string &parts) const
@@ -224,6 +224,19 @@
     BOOST_TEST(session.isRefused("bad l9"));
 }
 
+// The entry's view of the engine is older than its restarts.
+BOOST_AUTO_TEST_CASE(crashes_in_quick_succession_at_a_restarting_engine_count_each)
+{
+    Session session;
+    for (int i = 1; i <= 3; ++i) {
+        session.now_ += milliseconds(300);
+        session.crash("common bad l" + std::to_string(i), "engine-1");
+        session.crash("common doc" + std::to_string(i), "engine-1");
+    }
+    BOOST_TEST(session.isRefused("common bad l9"));
+    BOOST_TEST(session.table_.crashes_.size() == 3u);
+}
+
 // Retries of one request: its digest gets it refused.
 BOOST_AUTO_TEST_CASE(crashes_of_one_request_quarantine_no_part)
 {
--- a/packages/server/src/direct_thread.cpp
+++ b/packages/server/src/direct_thread.cpp
@@ -160,13 +160,11 @@
                            });
                        },
                        [&](const DirectEnded &e) { endExchange(e.token_, e.outcome_); },
-                       [&](const ProbeUpstream &e) {
-                           client_.probe(
-                               e.upstream_,
-                               [this, name = e.upstream_.name_, digest = e.digest_, run = e.run_,
-                                failedAt = e.failedAt_](bool reachable) {
-                                   handle(UpstreamProbed{name, digest, reachable, run, failedAt});
-                               });
+                       [&](ProbeUpstream &e) {
+                           client_.probe(e.upstream_,
+                                         [this, run = std::move(e.run_)](bool reachable) {
+                                             handle(UpstreamProbed{run, reachable});
+                                         });
                        },
                        [&](SubmitProposal &e) { node_.post(std::move(e)); },
                        [&](const SendToPeer &e) { network_.send(e.peer_, e.message_); },
--- a/packages/wire/schema/fleet.capnp
+++ b/packages/wire/schema/fleet.capnp
@@ -614,6 +614,7 @@
   parts @3 :List(PromptPart);
   ago @4 :Int64;
   started @5 :Bool;
+  runTime @6 :Int64;
 }
 
 struct Command {
