A stage's answer that is sent again is not read as that of the next call

Cause: answers to stage calls carry no id; on a kept connection the next answer was taken for that of the next call.

A connection remembers digests of its last 64 answers to stage calls; one that it had before ends the call as failed and closes the connection, so that the true answer is read by nobody.

Tests: answer_that_is_sent_again_is_not_read_as_that_of_the_next_call, connection_is_closed_after_an_answer_without_results.

--- a/packages/server/include/chervilspring/detail/net/http_client.hpp
+++ b/packages/server/include/chervilspring/detail/net/http_client.hpp
@@ -27,6 +27,9 @@
     /// before any answer, the call is sent again on a new one, so only repeatable calls may set
     /// this.
     bool reuse_ = false;
+    /// Whether each answer differs from all earlier ones on its connection. One that doesn't has
+    /// been sent again and belongs to an earlier call: the call ends with HttpCallEnd::Broken.
+    bool distinctAnswers_ = false;
 };
 
 /// @brief How a call ended.
--- a/packages/server/include/chervilspring/detail/net/idle_connections.hpp
+++ b/packages/server/include/chervilspring/detail/net/idle_connections.hpp
@@ -9,6 +9,7 @@
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http/message.hpp>
 
+#include <deque>
 #include <map>
 #include <memory>
 #include <string>
@@ -26,6 +27,8 @@
     boost::beast::tcp_stream stream_;
     boost::beast::flat_buffer buffer_;
     Instant usableUntil_{}; ///< the server may close the idle connection after this time
+    std::deque<std::uint64_t>
+        answerDigests_; ///< of the last bodies, see HttpCall::distinctAnswers_
 };
 
 using UpstreamConnectionPointer = std::shared_ptr<UpstreamConnection>;
--- a/packages/server/src/http_client.cpp
+++ b/packages/server/src/http_client.cpp
@@ -1,10 +1,13 @@
 #include "chervilspring/detail/net/http_client.hpp"
 
 #include "chervilspring/detail/net/connect.hpp"
+#include "chervilspring/digest.hpp"
 
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
+#include <algorithm>
+
 namespace chervilspring {
 
 namespace asio = boost::asio;
@@ -17,6 +20,7 @@
 
 constexpr std::size_t maxIdlePerServer = 64; // idle connections
 constexpr auto connectTimeout = milliseconds(1000);
+constexpr std::size_t maxAnswerDigests = 64; // of a connection
 
 std::string serverKey(const std::string &address, std::uint16_t port)
 {
@@ -54,6 +58,19 @@
     searchOffset = pending.empty() ? 0 : pending.size() - 1;
 }
 
+// Records the body of an answer. Returns false if the connection had one like it before.
+bool isNewAnswer(UpstreamConnection &connection, const std::string &body)
+{
+    auto &digests = connection.answerDigests_;
+    const std::uint64_t digest = contentDigest(body);
+    if (std::find(digests.begin(), digests.end(), digest) != digests.end())
+        return false;
+    digests.push_back(digest);
+    if (digests.size() > maxAnswerDigests)
+        digests.pop_front();
+    return true;
+}
+
 HttpCallEnd toCallEnd(const boost::system::error_code &error)
 {
     return error == beast::error::timeout ? HttpCallEnd::TimedOut : HttpCallEnd::Broken;
@@ -134,6 +151,9 @@
     }
     if (error)
         co_return HttpCallResult{toCallEnd(error), 0, {}, {}, error.message(), {}, {}};
+    if (call.distinctAnswers_ && !isNewAnswer(*connection, parser.get().body()))
+        co_return HttpCallResult{
+            HttpCallEnd::Broken, 0, {}, {}, "an earlier answer was sent again", {}, {}};
     HttpCallResult result;
     result.end_ = HttpCallEnd::Answered;
     result.status_ = parser.get().result_int();
--- a/packages/server/tests/unit-answer_cuts.cpp
+++ b/packages/server/tests/unit-answer_cuts.cpp
@@ -137,6 +137,7 @@
 
     std::vector<Cut> cuts_;
     std::function<std::string(const std::string &id)> answer_; ///< whole answer to a request
+    std::string primingBody_; ///< body of the whole answers that keep the connection
     int connections_ = 0; ///< number of accepted connections
 
 private:
@@ -162,9 +163,9 @@
             const bool whole = id.starts_with(primingPrefix);
             if (whole || !leavesUnread(ending_))
                 co_await http::async_read(*socket, buffer, parser, use_awaitable);
-            std::string bytes = whole
-                ? okLine + idHeader + ": " + id + "\r\nContent-Length: 0\r\n\r\n"
-                : answer_(id);
+            std::string bytes = whole ? okLine + idHeader + ": " + id + "\r\nContent-Length: "
+                    + std::to_string(primingBody_.size()) + "\r\n\r\n" + primingBody_
+                                      : answer_(id);
             open = whole;
             if (!whole) {
                 Cut &cut = cuts_[std::stoul(id)];
@@ -217,6 +218,8 @@
     ended.detail_ = result.end_ == HttpCallEnd::Answered ? result.body_ : result.detail_;
     if (result.end_ == HttpCallEnd::Answered)
         ended.end_ = result.status_ == 200 ? StageCallEnd::Done : StageCallEnd::Refused;
+    if (ended.end_ == StageCallEnd::Done)
+        ended.items_ = {StageItemResult{"result", ItemFailure::None}};
     if (result.end_ == HttpCallEnd::Unreachable)
         ended.end_ = StageCallEnd::Unreachable;
     return ended;
@@ -555,6 +558,7 @@
     CutUpstream upstream(context, ending);
     HttpClient client(context);
     upstream.answer_ = [&](const std::string &) { return answerTo(row, "0"); };
+    upstream.primingBody_ = "primed"; // answers to stage calls differ from each other
     const std::size_t total = answerTo(row, "0").size();
     for (std::size_t offset = 0; offset <= total; ++offset)
         upstream.cuts_.push_back({offset, 0});
--- a/packages/server/tests/unit-stage_calls.cpp
+++ b/packages/server/tests/unit-stage_calls.cpp
@@ -29,6 +29,8 @@
     StageCallEnded ended;
     ended.call_ = call.call_;
     ended.detail_ = result.body_;
+    if (!result.body_.empty())
+        ended.items_ = {StageItemResult{result.body_, ItemFailure::None}};
     if (result.end_ == HttpCallEnd::Answered)
         ended.end_ = result.status_ == 200 ? StageCallEnd::Done : StageCallEnd::Refused;
     if (result.end_ == HttpCallEnd::Unreachable)
@@ -136,4 +138,30 @@
     BOOST_TEST(fixture.upstream_.connections() == 2);
 }
 
+// The answer to the first call arrives once more while the second one is processed. Its results
+// would be taken for those of the second call, and the true answer for that to the third.
+BOOST_AUTO_TEST_CASE(answer_that_is_sent_again_is_not_read_as_that_of_the_next_call)
+{
+    Fixture fixture([](int number, const ScriptedUpstream::Request &) {
+        return answerText("200 OK", "answer " + std::to_string(number));
+    });
+    BOOST_TEST(fixture.call().detail_ == "answer 1");
+    fixture.upstream_.writeBeforeNextAnswer(answerText("200 OK", "answer 1"));
+    BOOST_TEST((fixture.call().end_ == StageCallEnd::Failed));
+    BOOST_TEST(fixture.call().detail_ == "answer 3");
+    BOOST_TEST(fixture.upstream_.connections() == 2);
+}
+
+// Refusals of all pieces look alike.
+BOOST_AUTO_TEST_CASE(connection_is_closed_after_an_answer_without_results)
+{
+    Fixture fixture([](int number, const ScriptedUpstream::Request &) {
+        return answerText("200 OK", number == 2 ? "" : "answer " + std::to_string(number));
+    });
+    fixture.call();
+    BOOST_TEST((fixture.call().end_ == StageCallEnd::Done));
+    BOOST_TEST(fixture.call().detail_ == "answer 3");
+    BOOST_TEST(fixture.upstream_.connections() == 2);
+}
+
 } // namespace
