Evacuation of data centres

An order is a command of the replicated log and part of the view; upstreams of an evacuated data centre take no new work, at entries and schedulers alike. chervilctl evacuate and restore, status, gauge, decision line.

--- a/apps/chervilctl/commands.cpp
+++ b/apps/chervilctl/commands.cpp
@@ -235,6 +235,18 @@
                          {"drained", !undo}});
 }
 
+leaf::result<ExitStatus> runEvacuate(const Invocation &invocation)
+{
+    return submitChange(invocation, "/v1/evacuations",
+                        {{"data_center", invocation.arguments_.at(1)}, {"evacuated", true}});
+}
+
+leaf::result<ExitStatus> runRestore(const Invocation &invocation)
+{
+    return submitChange(invocation, "/v1/evacuations",
+                        {{"data_center", invocation.arguments_.at(1)}, {"evacuated", false}});
+}
+
 leaf::result<ExitStatus> listRecords(const Invocation &invocation)
 {
     BOOST_LEAF_AUTO(answer, get(invocation, "/v1/records"));
@@ -321,6 +333,8 @@
     {"diff", 1, 1, "diff FILE: show what a fleet file would change", runDiff},
     {"apply", 1, 2, "apply FILE [BASE_VERSION]: replace the configuration", runApply},
     {"label", 2, 2, "label UPSTREAM KEY=VALUE: set a label; KEY= removes it", runLabel},
+    {"evacuate", 1, 1, "evacuate DATA_CENTRE: stop sending new work to its upstreams", runEvacuate},
+    {"restore", 1, 1, "restore DATA_CENTRE: end its evacuation", runRestore},
     {"drain", 1, 2, "drain UPSTREAM [off]: stop sending new work to it, or resume", runDrain},
     {"settle", 0, 5,
      "settle [ACCOUNT PIPELINE KEY ran|not-run [BODY]]: list open records, or settle one",
--- a/apps/chervilctl/print.cpp
+++ b/apps/chervilctl/print.cpp
@@ -80,6 +80,12 @@
                 {"QUEUED", "queued"},
                 {"RUNNING", "running"},
                 {"SHARE", "share"}});
+    if (const auto *evacuated = status.if_contains("evacuated");
+        evacuated && !evacuated->as_array().empty()) {
+        std::cout << "\nEVACUATED DATA CENTRES\n";
+        for (const auto &name : evacuated->as_array())
+            std::cout << formatCell(name) << "\n";
+    }
     std::cout << "\nUPSTREAMS\n";
     printTable(status.at("upstreams").as_array(),
                {{"NAME", "name"},
--- a/packages/core/include/chervilspring/messages.hpp
+++ b/packages/core/include/chervilspring/messages.hpp
@@ -311,6 +311,14 @@
 };
 BOOST_DESCRIBE_STRUCT(SetQuarantine, (), (quarantine_))
 
+/// @brief Evacuates a data centre, so that its upstreams get no new work, or ends the evacuation.
+struct EvacuateDataCenter
+{
+    std::string dataCenter_; ///< name of the data centre
+    bool evacuated_ = true; ///< true: no new work; false: ends the evacuation
+};
+BOOST_DESCRIBE_STRUCT(EvacuateDataCenter, (), (dataCenter_, evacuated_))
+
 /// @brief A control process as a member of the replicated log.
 struct Member
 {
@@ -332,7 +340,7 @@
 using Command = std::variant<Noop, ReserveRecord, CompleteRecord, ReassignRecord, ReleaseRecord,
                              MarkUnknown, SettleRecord, ApplyFleet, SetLabel, DrainUpstream,
                              AnnounceUpstream, RemoveUpstream, ReportCrash, ClearSuspect,
-                             ChangeMembers, ApplyDocument, SetQuarantine>;
+                             ChangeMembers, ApplyDocument, SetQuarantine, EvacuateDataCenter>;
 
 /// @brief Entry of the replicated log.
 struct LogEntry
@@ -413,10 +421,12 @@
     std::vector<std::string> removed_; ///< names of removed upstreams
     std::vector<Suspect> suspects_; ///< all suspects, replacing the previous ones
     std::vector<Quarantine> quarantines_; ///< all quarantines, replacing the previous ones
+    std::vector<std::string>
+        evacuated_; ///< all evacuated data centres, replacing the previous ones
 };
 BOOST_DESCRIBE_STRUCT(ViewUpdate, (),
                       (fromVersion_, toVersion_, fleetVersion_, fleet_, upstreams_, removed_,
-                       suspects_, quarantines_))
+                       suspects_, quarantines_, evacuated_))
 
 /// @brief Answer to Heartbeat.
 struct HeartbeatReply
--- a/packages/core/include/chervilspring/upstream.hpp
+++ b/packages/core/include/chervilspring/upstream.hpp
@@ -59,7 +59,8 @@
 };
 BOOST_DESCRIBE_STRUCT(Quarantine, (), (id_, parts_, crashes_, trials_, afterStart_))
 
-/// @brief State of the fleet at one version: configuration, upstreams, suspects and quarantines.
+/// @brief State of the fleet at one version: configuration, upstreams, suspects, quarantines and
+/// evacuations.
 struct View
 {
     std::uint64_t version_ = 0; ///< log index of the newest change
@@ -68,9 +69,11 @@
     std::vector<Upstream> upstreams_; ///< sorted by name
     std::vector<Suspect> suspects_;
     std::vector<Quarantine> quarantines_; ///< oldest first
+    std::vector<std::string> evacuated_; ///< names of the evacuated data centres, sorted
 };
 BOOST_DESCRIBE_STRUCT(View, (),
-                      (version_, fleetVersion_, fleet_, upstreams_, suspects_, quarantines_))
+                      (version_, fleetVersion_, fleet_, upstreams_, suspects_, quarantines_,
+                       evacuated_))
 
 /// @brief Shared pointer to a view. A published view is never modified.
 using ViewPointer = std::shared_ptr<const View>;
@@ -98,4 +101,9 @@
 /// @return true if it is in phase Serving, not drained, and its address is usable
 bool takesNewWork(const Upstream &upstream);
 
+/// @brief Tells whether an upstream can take new work and its data centre isn't evacuated.
+/// @param upstream the upstream
+/// @param view the view that lists it
+bool takesNewWork(const Upstream &upstream, const View &view);
+
 } // namespace chervilspring
--- a/packages/core/src/upstream.cpp
+++ b/packages/core/src/upstream.cpp
@@ -49,7 +49,7 @@
     const Fleet noPools;
     std::vector<std::pair<const Upstream *, Labels>> candidates;
     for (const Upstream &upstream : view.upstreams_) {
-        if (takesNewWork(upstream))
+        if (takesNewWork(upstream, view))
             candidates.emplace_back(&upstream, effectiveLabels(upstream, noPools));
     }
     for (const Pool &pool : view.fleet_.pools_) {
@@ -90,4 +90,11 @@
         && hasUsableAddress(upstream);
 }
 
+bool takesNewWork(const Upstream &upstream, const View &view)
+{
+    return takesNewWork(upstream)
+        && !std::binary_search(view.evacuated_.begin(), view.evacuated_.end(),
+                               upstream.dataCenter_);
+}
+
 } // namespace chervilspring
--- a/packages/decision/src/control/fleet_state.cpp
+++ b/packages/decision/src/control/fleet_state.cpp
@@ -10,6 +10,7 @@
 constexpr std::size_t maxStoredOperations = 4096;
 constexpr std::size_t maxViewChanges = 512;
 constexpr std::size_t maxSuspects = 256; // the one with the fewest crashes makes room
+constexpr std::size_t maxEvacuations = 1024;
 constexpr std::size_t maxQuarantines = 64; // the one with the fewest crashes makes room
 constexpr std::uint32_t refusalCrashCount = 2;
 constexpr auto expiryMargin = seconds(1);
@@ -337,6 +338,24 @@
     return outcome(OutcomeKind::Accepted, entry.index_);
 }
 
+Outcome applyCommand(FleetState &state, const LogEntry &entry, const EvacuateDataCenter &command)
+{
+    auto &evacuated = state.view_.evacuated_;
+    const auto found = std::lower_bound(evacuated.begin(), evacuated.end(), command.dataCenter_);
+    const bool isEvacuated = found != evacuated.end() && *found == command.dataCenter_;
+    if (isEvacuated == command.evacuated_)
+        return outcome(OutcomeKind::Accepted, entry.index_);
+    if (isEvacuated) {
+        evacuated.erase(found);
+    } else {
+        if (evacuated.size() == maxEvacuations)
+            return outcome(OutcomeKind::Conflict, entry.index_, "too many evacuations");
+        evacuated.insert(found, command.dataCenter_);
+    }
+    recordChange(state, entry.index_, {}, false);
+    return outcome(OutcomeKind::Accepted, entry.index_);
+}
+
 std::string operationId(const Command &command)
 {
     return std::visit(
@@ -468,6 +487,7 @@
     update.upstreams_ = view.upstreams_;
     update.suspects_ = view.suspects_;
     update.quarantines_ = view.quarantines_;
+    update.evacuated_ = view.evacuated_;
     return update;
 }
 
@@ -484,6 +504,7 @@
     update.fleetVersion_ = view.fleetVersion_;
     update.suspects_ = view.suspects_;
     update.quarantines_ = view.quarantines_;
+    update.evacuated_ = view.evacuated_;
     std::set<std::string> names;
     for (const ViewChange &change : state.viewChanges_) {
         if (change.version_ <= version)
--- a/packages/decision/src/direct/route_table.cpp
+++ b/packages/decision/src/direct/route_table.cpp
@@ -24,7 +24,7 @@
     }
     table->upstreamsByPool_ = poolMembers(*view);
     for (const Upstream &upstream : view->upstreams_) {
-        if (takesNewWork(upstream))
+        if (takesNewWork(upstream, *view))
             table->availableUpstreams_[upstream.name_] = &upstream;
     }
     return table;
--- a/packages/decision/src/entry/routing.cpp
+++ b/packages/decision/src/entry/routing.cpp
@@ -185,7 +185,7 @@
     const Selector byPolicy = selectorOf(policy.upstreams_);
     std::vector<const Upstream *> list;
     for (const Upstream &upstream : state.view_->upstreams_) {
-        if (!takesNewWork(upstream))
+        if (!takesNewWork(upstream, *state.view_))
             continue;
         const Labels labels = effectiveLabels(upstream, state.view_->fleet_);
         if (matches(byStage, labels) && matches(byPolicy, labels))
--- a/packages/decision/src/node/node.cpp
+++ b/packages/decision/src/node/node.cpp
@@ -284,6 +284,7 @@
     newer->fleetVersion_ = update.fleetVersion_;
     newer->suspects_ = update.suspects_;
     newer->quarantines_ = update.quarantines_;
+    newer->evacuated_ = update.evacuated_;
     if (update.fleet_)
         newer->fleet_ = *update.fleet_;
     auto &list = newer->upstreams_;
--- a/packages/decision/tests/unit-direct.cpp
+++ b/packages/decision/tests/unit-direct.cpp
@@ -550,6 +550,45 @@
     BOOST_TEST((plan.untilDeadline_ == seconds(15)));
 }
 
+ViewChanged evacuatedView(const DirectFixture &fixture, const std::string &dataCenter)
+{
+    auto view = std::make_shared<View>(*fixture.state_.table_->view_);
+    ++view->version_;
+    view->evacuated_ = {dataCenter};
+    ViewChanged changed;
+    changed.view_ = view;
+    return changed;
+}
+
+// The scheduler granted the request before it knew of the evacuation.
+BOOST_AUTO_TEST_CASE(
+    request_that_was_granted_an_engine_of_an_evacuated_data_centre_is_planned_again)
+{
+    DirectFixture fixture;
+    const std::string dataCenter =
+        fixture.state_.table_->availableUpstreams_.at("engine-1")->dataCenter_;
+    fixture.call("stream");
+    fixture.handle(evacuatedView(fixture, dataCenter));
+    const DirectRequest &request = fixture.state_.requests_.at(1);
+    const std::uint32_t round = request.planRound_;
+    fixture.grant("engine-1");
+    BOOST_TEST(request.planRound_ == round + 1);
+    BOOST_TEST((request.phase_ == DirectPhase::Planning));
+}
+
+BOOST_AUTO_TEST_CASE(request_whose_upstreams_are_all_evacuated_is_refused_at_once)
+{
+    DirectFixture fixture;
+    const std::string dataCenter =
+        fixture.state_.table_->availableUpstreams_.at("plain-1")->dataCenter_;
+    fixture.handle(evacuatedView(fixture, dataCenter));
+    const auto effects = fixture.call("unsafe");
+    BOOST_TEST(effectsOf<StartRun>(effects).empty());
+    BOOST_REQUIRE(effectsOf<RefuseCall>(effects).size() == 1u);
+    BOOST_TEST(effectsOf<RefuseCall>(effects)[0].status_ == 503u);
+    BOOST_TEST((effectsOf<RefuseCall>(effects)[0].retryAfter_ > nanoseconds(0)));
+}
+
 // The same request may arrive under other ids at any entry, so crashes are counted fleet-wide for
 // the digest of account, path and body.
 BOOST_AUTO_TEST_CASE(request_that_crashed_three_upstreams_is_refused)
--- a/packages/decision/tests/unit-fleet_state.cpp
+++ b/packages/decision/tests/unit-fleet_state.cpp
@@ -242,6 +242,52 @@
     BOOST_TEST(apply.state_.view_.quarantines_.front().id_ == 1000u); // it has most crashes
 }
 
+BOOST_AUTO_TEST_CASE(evacuations_are_sent_again_withdrawn_and_kept)
+{
+    StateMachine apply;
+    Upstream near = upstream("near", 1);
+    near.dataCenter_ = "dc1";
+    Upstream far = upstream("far", 1);
+    far.dataCenter_ = "dc2";
+    apply(AnnounceUpstream{near});
+    apply(AnnounceUpstream{far});
+    const auto start = updateView(View{}, makeUpdate(apply.state_, 0));
+    BOOST_REQUIRE(start);
+    const auto takesWork = [](const View &view, const std::string &name) {
+        return takesNewWork(*findByName(view.upstreams_, name), view);
+    };
+    const Outcome first = apply(EvacuateDataCenter{"dc2", true});
+    BOOST_TEST((first.kind_ == OutcomeKind::Accepted));
+    BOOST_TEST((apply(EvacuateDataCenter{"dc2", true}).kind_ == OutcomeKind::Accepted));
+    BOOST_TEST(apply.state_.view_.version_ == first.version_); // the repetition changes nothing
+    const auto evacuated = updateView(*start, makeUpdate(apply.state_, start->version_));
+    BOOST_REQUIRE(evacuated);
+    BOOST_TEST(takesWork(*evacuated, "near"));
+    BOOST_TEST(!takesWork(*evacuated, "far"));
+    // An upstream that registers there meanwhile gets no work either.
+    Upstream restarted = far;
+    restarted.agentBoot_ = 2;
+    apply(AnnounceUpstream{restarted});
+    const FleetState restored = restoreFleetState(makeSnapshot(apply.state_));
+    BOOST_TEST(!takesWork(restored.view_, "far"));
+    BOOST_TEST((apply(EvacuateDataCenter{"dc2", false}).kind_ == OutcomeKind::Accepted));
+    BOOST_TEST((apply(EvacuateDataCenter{"dc2", false}).kind_ == OutcomeKind::Accepted));
+    const auto ended = updateView(*evacuated, makeUpdate(apply.state_, evacuated->version_));
+    BOOST_REQUIRE(ended);
+    BOOST_TEST(takesWork(*ended, "far"));
+}
+
+BOOST_AUTO_TEST_CASE(number_of_evacuations_is_bounded)
+{
+    StateMachine apply;
+    for (int i = 0; i < 1024; ++i)
+        apply(EvacuateDataCenter{"dc" + std::to_string(i), true});
+    const Outcome refused = apply(EvacuateDataCenter{"one more", true});
+    BOOST_TEST((refused.kind_ == OutcomeKind::Conflict));
+    BOOST_TEST((apply(EvacuateDataCenter{"dc7", true}).kind_ == OutcomeKind::Accepted));
+    BOOST_TEST(apply.state_.view_.evacuated_.size() == 1024u);
+}
+
 BOOST_AUTO_TEST_CASE(updates_lead_to_the_same_view_and_never_back)
 {
     StateMachine apply;
--- a/packages/server/include/chervilspring/detail/process/operator_commands.hpp
+++ b/packages/server/include/chervilspring/detail/process/operator_commands.hpp
@@ -15,7 +15,7 @@
 };
 
 /// @brief Parses the body of an operator's call.
-/// @param path "/v1/fleet", "/v1/labels", "/v1/drain" or "/v1/settle"
+/// @param path "/v1/fleet", "/v1/labels", "/v1/drain", "/v1/evacuations" or "/v1/settle"
 /// @param body JSON object
 /// @param view current view; the warning names the selectors that match none of its upstreams
 /// @return the command, or an error that names the missing or invalid member
--- a/packages/server/src/control_thread.cpp
+++ b/packages/server/src/control_thread.cpp
@@ -407,6 +407,7 @@
     body["upstreams"] = toJson(view.upstreams_);
     body["suspects"] = toJson(view.suspects_);
     body["quarantines"] = toJson(view.quarantines_);
+    body["evacuated"] = toJson(view.evacuated_);
     return boost::json::serialize(body);
 }
 
@@ -433,6 +434,7 @@
     metrics_.set("control_leads", leads(state_.consensus_) ? 1 : 0);
     metrics_.set("control_quarantines",
                  static_cast<double>(state_.fleet_.view_.quarantines_.size()));
+    metrics_.set("control_evacuations", static_cast<double>(state_.fleet_.view_.evacuated_.size()));
     metrics_.set("messages_sent", static_cast<double>(network_.traffic().messagesSent_));
     metrics_.set("bytes_sent", static_cast<double>(network_.traffic().bytesSent_));
     metrics_.set("bytes_received", static_cast<double>(network_.traffic().bytesReceived_));
--- a/packages/server/src/operator_commands.cpp
+++ b/packages/server/src/operator_commands.cpp
@@ -73,6 +73,15 @@
     return OperatorCommand{command, {}};
 }
 
+leaf::result<OperatorCommand> parseEvacuate(const boost::json::object &object,
+                                            const std::string &path)
+{
+    EvacuateDataCenter command;
+    BOOST_LEAF_ASSIGN(command.dataCenter_, stringMember(object, "data_center", path));
+    BOOST_LEAF_ASSIGN(command.evacuated_, boolMember(object, "evacuated", path));
+    return OperatorCommand{command, {}};
+}
+
 leaf::result<OperatorCommand> parseSettle(const boost::json::object &object,
                                           const std::string &path)
 {
@@ -142,6 +151,8 @@
         return parseLabel(object, path);
     if (path == "/v1/drain")
         return parseDrain(object, path);
+    if (path == "/v1/evacuations")
+        return parseEvacuate(object, path);
     if (path == "/v1/settle")
         return parseSettle(object, path);
     return leaf::new_error(
--- a/packages/wire/schema/fleet.capnp
+++ b/packages/wire/schema/fleet.capnp
@@ -211,6 +211,7 @@
   upstreams @3 :List(Upstream);
   suspects @4 :List(Suspect);
   quarantines @5 :List(Quarantine);
+  evacuated @6 :List(Text);
 }
 
 struct Dispatch {
@@ -379,6 +380,11 @@
   digest @0 :UInt64;
 }
 
+struct EvacuateDataCenter {
+  dataCenter @0 :Text;
+  evacuated @1 :Bool;
+}
+
 struct SetQuarantine {
   quarantine @0 :Quarantine;
 }
@@ -436,6 +442,7 @@
   removed @5 :List(Text);
   suspects @6 :List(Suspect);
   quarantines @7 :List(Quarantine);
+  evacuated @8 :List(Text);
 }
 
 struct HeartbeatReply {
@@ -636,6 +643,7 @@
     changeMembers @14 :ChangeMembers;
     applyDocument @15 :ApplyDocument;
     setQuarantine @16 :SetQuarantine;
+    evacuateDataCenter @17 :EvacuateDataCenter;
   }
 }
 
