The memory for the requests of an entry is bounded

Operators saw a process end: clients sent many large bodies of legal size at once and stopped just short of their end.

Cause: each body had a limit, all together had none; a stalled body kept its memory for ten seconds.

Callers take at most half of the descriptors.

--- a/packages/core/include/chervilspring/settings.hpp
+++ b/packages/core/include/chervilspring/settings.hpp
@@ -84,6 +84,7 @@
     std::string logFile_; ///< empty: standard output
     std::string logLevel_; ///< debug, info, warn or error
     std::size_t bodyLimit_ = 0; ///< largest request body in bytes
+    std::size_t requestMemory_ = 64u << 20; ///< for all requests of an entry on routes, in bytes
     milliseconds readTimeout_{0}; ///< time within which a started request has to be complete
     std::uint32_t trafficThreads_ = 1; ///< threads of an entry that handle requests
     milliseconds stopDelay_{0}; ///< time between failing /readyz and refusing requests at a stop
--- a/packages/core/src/settings.cpp
+++ b/packages/core/src/settings.cpp
@@ -58,6 +58,8 @@
      "window in which retries are counted"},
     {"node", "body_limit", SettingKind::Number, "bytes", 1024, 16777216, "1048576", "",
      "largest request body that is accepted"},
+    {"node", "request_memory", SettingKind::Number, "bytes", 1048576, 1ll << 40, "67108864", "",
+     "memory of an entry for the requests of all callers on routes, read completely or not"},
     {"node", "read_timeout", SettingKind::Number, "ms", 50, 600000, "5000", "",
      "time within which a started request has to be complete"},
     {"node", "traffic_threads", SettingKind::Number, "", 1, 16, "1", "",
@@ -332,6 +334,7 @@
     settings.retryWindow_ =
         std::chrono::ceil<milliseconds>(std::chrono::duration<double>(windowSeconds));
     settings.bodyLimit_ = numberOf<std::size_t>(node, "body_limit");
+    settings.requestMemory_ = numberOf<std::size_t>(node, "request_memory");
     settings.readTimeout_ = durationOf(node, "read_timeout");
     settings.trafficThreads_ = numberOf<std::uint32_t>(node, "traffic_threads");
     settings.stopDelay_ = durationOf(node, "stop_delay");
--- a/packages/server/include/chervilspring/detail/net/direct_server.hpp
+++ b/packages/server/include/chervilspring/detail/net/direct_server.hpp
@@ -2,9 +2,12 @@
 /// @brief HTTP/1.1 server for routes: reads callers' requests, writes answers as they arrive.
 #pragma once
 
+#include "chervilspring/detail/direct/request_memory.hpp"
 #include "chervilspring/detail/net/http_server.hpp"
+#include "chervilspring/detail/net/read_limits.hpp"
 #include "chervilspring/fleet.hpp"
 
+#include <limits>
 #include <map>
 
 namespace chervilspring {
@@ -31,6 +34,9 @@
     boost::asio::ip::tcp::socket socket_;
     boost::beast::flat_buffer buffer_; ///< bytes that were read but not parsed yet
     ConnectionPhase phase_ = ConnectionPhase::Idle;
+    Instant phaseSince_ = BootClock::now(); ///< since when it is idle, or its request is read
+    std::uint64_t requestId_ = 0; ///< id of the request in the server's memory; 0: none
+    bool evicted_ = false; ///< the server gives the connection up for others
     boost::asio::steady_timer exchangeEndSignal_; ///< cancelled when currentExchange_ ends
     bool readWaitPending_ = false; ///< a wait until the socket is readable is pending
     std::uint64_t lastDeadline_ = 0; ///< number of the latest deadline for reading
@@ -101,6 +107,7 @@
 
     std::uint64_t token_;
     std::function<void()> onGone_; ///< called if the caller has disconnected before the end
+    std::shared_ptr<void> memory_; ///< its end releases the memory of the request
     std::shared_ptr<CallerConnection> connection_;
     HttpRequest request_;
     bool keepAlive_;
@@ -139,6 +146,17 @@
     /// server.
     void setLimits(const CallerLimits &limits);
 
+    /// @brief Sets the limits on what all callers together may take.
+    /// @param requestBytes memory for requests, read completely or not
+    /// @param connections open connections
+    void setTotals(std::size_t requestBytes, std::size_t connections);
+
+    /// @brief Returns the memory that requests hold, in bytes.
+    std::size_t requestBytes() const { return memory_->usedBytes_; }
+
+    /// @brief Returns how often a request or connection was refused or given up for others.
+    std::uint64_t evictions() const { return evictions_; }
+
     /// @brief Makes answers that have not begun announce that the connection closes after them.
     ///
     /// Where a further request was read already, the answer to that one announces it.
@@ -170,6 +188,23 @@
     /// Reads one request. Returns false if none could be read; the connection must be closed then.
     boost::asio::awaitable<bool> readRequest(const std::shared_ptr<CallerConnection> &connection,
                                              HttpRequest &request);
+    /// Reads the rest of a request within the memory for requests.
+    boost::asio::awaitable<void>
+    readBodyWithin(std::shared_ptr<CallerConnection> connection,
+                   boost::beast::http::request_parser<boost::beast::http::string_body> &parser,
+                   MessageSize &messageSize, boost::system::error_code &error);
+    /// Reads a request, for the head of which there is memory.
+    boost::asio::awaitable<void> readWithin(std::shared_ptr<CallerConnection> connection,
+                                            HttpRequest &request, boost::system::error_code &error);
+    /// Answers a request that can't be read.
+    boost::asio::awaitable<void> refuseUnread(std::shared_ptr<CallerConnection> connection,
+                                              boost::system::error_code error);
+    /// Asks for memory of the request that a connection receives. Returns whether there is any.
+    bool holdBytes(const std::shared_ptr<CallerConnection> &connection, std::size_t bytes);
+    /// Gives a connection up that is idle or receives a request.
+    void evict(CallerConnection &connection);
+    /// Gives the connection up that has been idle or receiving for longest, if there are too many.
+    void evictOldestConnection();
     /// Detects that the caller disconnects while its request is in progress.
     void watchForDisconnect(const std::shared_ptr<CallerConnection> &connection);
     void onReadable(const std::shared_ptr<CallerConnection> &connection);
@@ -182,6 +217,12 @@
     Instant idleTimeChangedAt_{}; ///< when limits_.idleTime_ changed last
     boost::asio::ip::tcp::acceptor acceptor_;
     std::map<CallerConnection *, std::weak_ptr<CallerConnection>> connections_; ///< open ones
+    /// Shared with exchanges, which may outlive the server.
+    std::shared_ptr<RequestMemory> memory_ = std::make_shared<RequestMemory>();
+    std::map<std::uint64_t, std::weak_ptr<CallerConnection>> receiving_; ///< by id of the request
+    std::uint64_t nextRequestId_ = 1;
+    std::size_t maxConnections_ = std::numeric_limits<std::size_t>::max();
+    std::uint64_t evictions_ = 0;
     std::uint64_t nextToken_ = 1; ///< token of the next exchange
     bool closing_ = false; ///< closeAfterAnswers() was called
     bool stopped_ = false; ///< stop() was called
--- a/packages/server/src/direct_server.cpp
+++ b/packages/server/src/direct_server.cpp
@@ -27,6 +27,10 @@
 constexpr auto acceptRetryDelay = milliseconds(10);
 constexpr auto closeTimeout = seconds(1); // for a caller to receive the last answer and close
 constexpr std::size_t firstReadBytes = 4096; // of a request
+// Memory of a request that is being read, besides its body: buffers and the parsed head.
+constexpr std::size_t bytesPerRequest = 32u << 10;
+constexpr std::size_t bytesPerServedRequest = 2u << 10; // likewise, once it was read
+constexpr nanoseconds memoryRetryAfter = seconds(1); // stalled requests have been given up by then
 constexpr unsigned statusBadRequest = 400;
 constexpr unsigned statusRequestTimeout = 408; // the request was not run
 constexpr unsigned statusBodyTooLarge = 413;
@@ -82,7 +86,8 @@
     co_await step();
     deadline.disarm();
     boost::system::error_code ignored;
-    while (error == asio::error::operation_aborted && connection->socket_.available(ignored) > 0) {
+    while (error == asio::error::operation_aborted && !connection->evicted_
+           && connection->socket_.available(ignored) > 0) {
         error = {};
         ReadDeadline expired(connection, nanoseconds(0));
         co_await step();
@@ -253,7 +258,57 @@
 
 DirectServer::DirectServer(asio::io_context &context, DirectHandlers handlers)
     : context_(context), handlers_(std::move(handlers)), acceptor_(context)
-{ }
+{
+    memory_->limitBytes_ = std::numeric_limits<std::size_t>::max() / 2;
+}
+
+void DirectServer::setTotals(std::size_t requestBytes, std::size_t connections)
+{
+    memory_->limitBytes_ = requestBytes;
+    maxConnections_ = connections;
+}
+
+void DirectServer::evict(CallerConnection &connection)
+{
+    ++evictions_;
+    connection.evicted_ = true;
+    boost::system::error_code ignored;
+    connection.socket_.cancel(ignored);
+}
+
+void DirectServer::evictOldestConnection()
+{
+    std::shared_ptr<CallerConnection> oldest;
+    for (const auto &[key, weak] : connections_) {
+        const auto connection = weak.lock();
+        const bool mayGo = connection && !connection->evicted_
+            && (connection->phase_ == ConnectionPhase::Idle
+                || connection->phase_ == ConnectionPhase::Reading);
+        if (mayGo && (!oldest || connection->phaseSince_ < oldest->phaseSince_))
+            oldest = connection;
+    }
+    if (oldest)
+        evict(*oldest);
+}
+
+bool DirectServer::holdBytes(const std::shared_ptr<CallerConnection> &connection, std::size_t bytes)
+{
+    if (connection->evicted_)
+        return false;
+    const MemoryDecision decision =
+        holdRequest(*memory_, connection->requestId_, bytes, BootClock::now());
+    for (const std::uint64_t id : decision.evicted_) {
+        const auto found = receiving_.find(id);
+        const auto other = found == receiving_.end() ? nullptr : found->second.lock();
+        if (other)
+            evict(*other);
+    }
+    if (!decision.isAdmitted_) {
+        ++evictions_;
+        connection->evicted_ = true;
+    }
+    return decision.isAdmitted_;
+}
 
 std::uint16_t DirectServer::listen(const tcp::endpoint &endpoint)
 {
@@ -332,6 +387,8 @@
         }
         if (error)
             co_return;
+        if (connections_.size() >= maxConnections_)
+            evictOldestConnection();
         asio::co_spawn(context_,
                        serve(std::make_shared<CallerConnection>(std::move(socket), context_)),
                        asio::detached);
@@ -359,8 +416,13 @@
     beast::flat_buffer &buffer = connection->buffer_;
     const Instant idleSince = BootClock::now();
     Instant idleUntil = idleSince + idleTime();
+    connection->phaseSince_ = idleSince;
+    if (buffer.size() == 0 && buffer.capacity() > firstReadBytes)
+        buffer.shrink_to_fit(); // thousands of connections may be idle
     while (buffer.size() == 0) {
         connection->phase_ = ConnectionPhase::Idle;
+        if (connection->evicted_)
+            co_return false;
         boost::system::error_code error;
         ReadDeadline deadline(connection, stopped_ ? nanoseconds(0) : idleUntil - BootClock::now());
         buffer.commit(co_await connection->socket_.async_read_some(
@@ -375,36 +437,87 @@
             co_return false;
     }
     connection->phase_ = ConnectionPhase::Reading;
+    connection->phaseSince_ = BootClock::now();
     co_return true;
 }
 
+asio::awaitable<void> DirectServer::readBodyWithin(std::shared_ptr<CallerConnection> connection,
+                                                   http::request_parser<http::string_body> &parser,
+                                                   MessageSize &messageSize,
+                                                   boost::system::error_code &error)
+{
+    const auto length = parser.content_length();
+    while (!error && !parser.is_done()) {
+        const auto &body = parser.get().body();
+        const std::size_t bytes = bytesPerRequest
+            + (length ? std::max<std::size_t>(*length, body.size()) : body.capacity());
+        if (!holdBytes(connection, bytes)) {
+            error = asio::error::no_memory;
+            co_return;
+        }
+        co_await parseOrReadSome(connection->socket_, connection->buffer_, parser, messageSize,
+                                 error);
+        messageSize.bodyBytes_ = parser.get().body().size();
+        if (!error && !isWithinLimit(messageSize))
+            error = http::error::body_limit;
+    }
+}
+
 asio::awaitable<bool> DirectServer::readRequest(const std::shared_ptr<CallerConnection> &connection,
                                                 HttpRequest &request)
 {
     if (!co_await waitForRequest(connection))
         co_return false;
+    connection->requestId_ = nextRequestId_++;
+    receiving_[connection->requestId_] = connection;
+    boost::system::error_code error;
+    if (holdBytes(connection, bytesPerRequest))
+        co_await readWithin(connection, request, error);
+    else
+        error = asio::error::no_memory;
+    receiving_.erase(connection->requestId_);
+    if (!error && !connection->evicted_) {
+        completeRequest(*memory_, connection->requestId_,
+                        bytesPerServedRequest + request.body().capacity());
+        co_return true;
+    }
+    releaseRequest(*memory_, connection->requestId_);
+    if (connection->evicted_)
+        error = asio::error::no_memory;
+    co_await refuseUnread(connection, error);
+    co_return false;
+}
+
+asio::awaitable<void> DirectServer::readWithin(std::shared_ptr<CallerConnection> connection,
+                                               HttpRequest &request,
+                                               boost::system::error_code &error)
+{
     beast::flat_buffer &buffer = connection->buffer_;
     buffer.max_size(std::max<std::size_t>(maxUnparsedBytes, 2 * limits_.headerBytes_));
     http::request_parser<http::string_body> parser;
     parser.header_limit(limits_.headerBytes_);
     parser.body_limit(limits_.bodyBytes_);
-    boost::system::error_code error;
     MessageSize messageSize;
     const auto head = [&] {
         return readHead(connection->socket_, buffer, parser, messageSize, error);
     };
-    const auto body = [&] {
-        return readBody(connection->socket_, buffer, parser, messageSize, error);
-    };
+    const auto body = [&] { return readBodyWithin(connection, parser, messageSize, error); };
     co_await readInTime(connection, limits_.headerTime_, head, error);
     if (!error && !parser.is_done())
         co_await readInTime(connection, bodyReadTimeout, body, error);
-    if (!error) {
+    if (!error)
         request = parser.release();
-        co_return true;
-    }
+}
+
+asio::awaitable<void> DirectServer::refuseUnread(std::shared_ptr<CallerConnection> connection,
+                                                 boost::system::error_code error)
+{
     unsigned status = 0;
-    if (error == asio::error::operation_aborted)
+    nanoseconds retryAfter{0};
+    if (error == asio::error::no_memory) {
+        status = statusUnavailable;
+        retryAfter = memoryRetryAfter;
+    } else if (error == asio::error::operation_aborted)
         status = statusRequestTimeout;
     else if (error == http::error::body_limit)
         status = statusBodyTooLarge;
@@ -414,17 +527,19 @@
              && error != http::error::end_of_stream && error != http::error::partial_message)
         status = statusBadRequest;
     if (status != 0) {
+        const std::string outcome = status == statusUnavailable ? "no_room" : "unreadable";
         writeLog(LogLevel::Info,
-                 "decision=end outcome=unreadable status=" + std::to_string(status) + " detail="
-                     + (status == statusRequestTimeout ? "incomplete in time" : error.message()));
-        const std::string text = makeRefusal(status, nanoseconds(0), "unreadable", false);
+                 "decision=end outcome=" + outcome + " status=" + std::to_string(status)
+                     + " detail="
+                     + (status == statusRequestTimeout ? "incomplete in time" : error.message())
+                     + " request_bytes=" + std::to_string(memory_->usedBytes_));
+        const std::string text = makeRefusal(status, retryAfter, outcome, false);
         co_await asio::async_write(connection->socket_, asio::buffer(text),
                                    asio::redirect_error(use_awaitable, error));
         connection->phase_ = ConnectionPhase::Closing;
         connection->socket_.shutdown(tcp::socket::shutdown_send, error);
         co_await discardUntilClose(connection, 2 * std::size_t{limits_.bodyBytes_});
     }
-    co_return false;
 }
 
 void DirectServer::watchForDisconnect(const std::shared_ptr<CallerConnection> &connection)
@@ -490,6 +605,10 @@
     auto exchange =
         std::make_shared<DirectExchange>(nextToken_++, connection, std::move(request), keepAlive);
     exchange->onGone_ = [this, token = exchange->token()] { handlers_.onCallerGone_(token); };
+    exchange->memory_ = std::shared_ptr<void>(
+        nullptr, [memory = memory_, id = std::exchange(connection->requestId_, 0)](void *) {
+            releaseRequest(*memory, id);
+        });
     connection->currentExchange_ = exchange;
     passOn(exchange);
     if (!exchange->ended())
--- a/packages/server/src/direct_thread.cpp
+++ b/packages/server/src/direct_thread.cpp
@@ -5,6 +5,10 @@
 
 #include <boost/asio/post.hpp>
 
+#include <sys/resource.h>
+
+#include <algorithm>
+#include <limits>
 #include <stdexcept>
 
 namespace chervilspring {
@@ -22,6 +26,7 @@
 // Requests that are still unfinished are answered this long before the process exits.
 constexpr nanoseconds lastAnswersTime = milliseconds(100);
 constexpr auto stopPollInterval = milliseconds(50);
+constexpr std::size_t minCallerConnections = 16;
 
 DirectSettings directSettings(const Settings &settings)
 {
@@ -34,6 +39,15 @@
     return direct;
 }
 
+// Half of the descriptors that the process may open: the other half is for upstreams and peers.
+std::size_t maxCallerConnections()
+{
+    rlimit limit{};
+    if (::getrlimit(RLIMIT_NOFILE, &limit) != 0 || limit.rlim_cur == RLIM_INFINITY)
+        return std::numeric_limits<std::size_t>::max();
+    return std::max<std::size_t>(minCallerConnections, limit.rlim_cur / 2);
+}
+
 PeerHandlers peerHandlers(std::function<void(const DirectEvent &)> handle)
 {
     PeerHandlers handlers;
@@ -62,6 +76,8 @@
           [this](const HttpExchangePointer &exchange) {
               metrics_.set("connections_opened", static_cast<double>(client_.connectionsOpened()));
               metrics_.set("callers", static_cast<double>(server_.openConnections()));
+              metrics_.set("request_bytes", static_cast<double>(server_.requestBytes()));
+              metrics_.set("callers_evicted_total", static_cast<double>(server_.evictions()));
               exchange->answer(HttpAnswer{200, "text/plain; version=0.0.4", {}, metrics_.text()});
           }),
       client_(context_, protocol,
@@ -72,6 +88,7 @@
       timer_(context_, [this] { handle(Wake{}); }), stopTimer_(context_)
 {
     network_.setDefaultPort(schedulerPort(settings));
+    server_.setTotals(settings.requestMemory_, maxCallerConnections());
 }
 
 DirectThread::~DirectThread()
