Cold upstreams get no more than the rate that their service states

Cause: a model engine that has just started crashes well above cold_per_s, a limit over the whole fleet. Nothing read cold_left_ms of a registration or cold_per_s of a service.

Change: both are decoded and part of the view (Upstream::cold_, Pool::coldRate_). The scheduler, which grants the requests of all entries, counts its recent grants to each engine of a pool with a limit and passes over a cold one that has had its rate; a new scheduler uses half of the rate at first. Entries choose cold upstreams of such pools for requests that aren't planned only if no warm one is usable. Partial: that choice of the entries is not counted over the fleet.

--- a/packages/core/include/chervilspring/fleet.hpp
+++ b/packages/core/include/chervilspring/fleet.hpp
@@ -68,8 +68,10 @@
     std::uint32_t connectionLimit_ = 0; ///< fleet-wide connections to each member; 0: unlimited
     std::optional<PieceCapacity> pieces_; ///< set if members process pieces of stages
     std::optional<EngineCapacity> engine_; ///< set if members are model engines
+    double coldRate_ = 0; ///< requests a second that a cold member bears; 0: unlimited
 };
-BOOST_DESCRIBE_STRUCT(Pool, (), (name_, selector_, labels_, connectionLimit_, pieces_, engine_))
+BOOST_DESCRIBE_STRUCT(Pool, (),
+                      (name_, selector_, labels_, connectionLimit_, pieces_, engine_, coldRate_))
 
 /// @brief Tells whether requests of a route may be repeated.
 enum class RouteKind : std::uint16_t {
--- a/packages/core/include/chervilspring/upstream.hpp
+++ b/packages/core/include/chervilspring/upstream.hpp
@@ -33,10 +33,11 @@
     Labels operatorLabels_; ///< labels set by operators; override labels_ of the same key
     bool direct_ = false; ///< the upstream has no agent
     std::uint64_t sequence_ = 0; ///< number of the announcement; used if direct_
+    bool cold_ = false; ///< has just started and bears only Pool::coldRate_
 };
 BOOST_DESCRIBE_STRUCT(Upstream, (),
                       (name_, dataCenter_, agentAddress_, agentPort_, agentBoot_, concurrency_,
-                       phase_, drained_, labels_, operatorLabels_, direct_, sequence_))
+                       phase_, drained_, labels_, operatorLabels_, direct_, sequence_, cold_))
 
 /// @brief Request body that is suspected of crashing upstreams.
 struct Suspect
--- a/packages/decision/include/chervilspring/detail/direct/upstream_choice.hpp
+++ b/packages/decision/include/chervilspring/detail/direct/upstream_choice.hpp
@@ -30,10 +30,12 @@
 /// @param stats statistics by upstream name
 /// @param avoided names of upstreams that are chosen only if there is no other
 /// @param randomValue uniformly distributed random number for breaking ties
+/// @param spareCold whether cold upstreams are chosen only if there is no warm one, of those that
+/// are not avoided and in the same way of those that are
 /// @return the upstream, or nullptr if the pool is empty
 const Upstream *chooseUpstream(const std::vector<const Upstream *> &upstreams,
                                const UpstreamTable &stats, const std::vector<std::string> &avoided,
-                               std::uint64_t randomValue, Instant now);
+                               std::uint64_t randomValue, Instant now, bool spareCold = false);
 
 /// @brief Records the start of a run.
 void recordRunStart(UpstreamTable &stats, const std::string &upstream);
--- a/packages/decision/include/chervilspring/detail/scheduler/engine_cost.hpp
+++ b/packages/decision/include/chervilspring/detail/scheduler/engine_cost.hpp
@@ -51,6 +51,7 @@
     std::uint64_t placementHash_ = 0; ///< breaks ties, lowest first; the same at every scheduler
     nanoseconds total_{0}; ///< total cost, expressed as a time
     bool atCapacity_ = false; ///< the engine has no free slot or not enough cache
+    std::uint32_t coldPassedOver_ = 0; ///< cold engines not considered, as their rate is used up
 };
 
 /// @brief Bytes of a request's inputs by the data centre that holds them.
--- a/packages/decision/include/chervilspring/detail/scheduler/scheduler.hpp
+++ b/packages/decision/include/chervilspring/detail/scheduler/scheduler.hpp
@@ -6,6 +6,7 @@
 /// another one, and pieces are processed again.
 #pragma once
 
+#include "chervilspring/detail/scheduler/cold_rate.hpp"
 #include "chervilspring/detail/scheduler/engine_cost.hpp"
 #include "chervilspring/detail/scheduler/piece_plan.hpp"
 #include "chervilspring/detail/scheduler/quarantine.hpp"
@@ -123,6 +124,7 @@
     std::map<std::string, PendingFree> pendingFrees_; ///< by upstream name
     NoticeTable notices_; ///< stage upstreams that leave or want no calls for a while
     EngineTable engines_;
+    ColdRates coldRates_; ///< recent grants of engines whose pools limit the rate of cold ones
     /// Engines by pool name; a pool that is missing here has not been needed since the last view.
     std::map<std::string, std::vector<EngineCandidate>> candidates_;
     std::map<std::string, TimeEstimate> timesToFirstToken_; ///< since the grant, by route name
--- a/packages/decision/src/control/fleet_state.cpp
+++ b/packages/decision/src/control/fleet_state.cpp
@@ -404,7 +404,8 @@
     return left.agentBoot_ == right.agentBoot_ && left.phase_ == right.phase_
         && left.labels_ == right.labels_ && left.concurrency_ == right.concurrency_
         && left.agentPort_ == right.agentPort_ && left.agentAddress_ == right.agentAddress_
-        && left.dataCenter_ == right.dataCenter_ && left.direct_ == right.direct_;
+        && left.dataCenter_ == right.dataCenter_ && left.direct_ == right.direct_
+        && left.cold_ == right.cold_;
 }
 
 bool isOutdated(const FleetState &state, const Upstream &announced)
--- a/packages/decision/src/direct/direct_runs.cpp
+++ b/packages/decision/src/direct/direct_runs.cpp
@@ -282,9 +282,10 @@
     const auto found = state.table_->upstreamsByPool_.find(request.pool_);
     const auto &upstreams =
         found == state.table_->upstreamsByPool_.end() ? noUpstreams : found->second;
-    const Upstream *upstream =
-        chooseUpstream(usableUpstreams(state.notices_, upstreams, now), state.upstreamStats_,
-                       request.avoidedUpstreams_, state.random_(), now);
+    const Pool *pool = findPool(*state.table_, request.pool_);
+    const Upstream *upstream = chooseUpstream(usableUpstreams(state.notices_, upstreams, now),
+                                              state.upstreamStats_, request.avoidedUpstreams_,
+                                              state.random_(), now, pool && pool->coldRate_ > 0);
     if (!upstream) {
         failUnusable(state, now, token, upstreams, effects);
         return;
--- a/packages/decision/src/direct/upstream_choice.cpp
+++ b/packages/decision/src/direct/upstream_choice.cpp
@@ -1,6 +1,7 @@
 #include "chervilspring/detail/direct/upstream_choice.hpp"
 
 #include <algorithm>
+#include <tuple>
 
 namespace chervilspring {
 
@@ -26,18 +27,20 @@
 
 const Upstream *chooseUpstream(const std::vector<const Upstream *> &upstreams,
                                const UpstreamTable &stats, const std::vector<std::string> &avoided,
-                               std::uint64_t randomValue, Instant now)
+                               std::uint64_t randomValue, Instant now, bool spareCold)
 {
     static const UpstreamStats emptyStats; // for upstreams that have not been used yet
     const Upstream *chosen = nullptr;
-    std::pair<bool, double> chosenRank; // avoided or not, expected cost; lower ranks are preferred
+    // Avoided or not, spared or not, expected cost; lower ranks are preferred.
+    std::tuple<bool, bool, double> chosenRank;
     for (std::size_t i = 0; i < upstreams.size(); ++i) {
         const Upstream *upstream = upstreams[(i + randomValue) % upstreams.size()];
         const auto found = stats.find(upstream->name_);
         const UpstreamStats &upstreamStats = found == stats.end() ? emptyStats : found->second;
         const bool isAvoidedUpstream = isAvoided(upstreamStats.avoidance_, now)
             || std::find(avoided.begin(), avoided.end(), upstream->name_) != avoided.end();
-        const std::pair<bool, double> rank(isAvoidedUpstream, expectedCost(upstreamStats));
+        const std::tuple rank(isAvoidedUpstream, spareCold && upstream->cold_,
+                              expectedCost(upstreamStats));
         if (chosen && rank >= chosenRank)
             continue;
         chosen = upstream;
--- a/packages/decision/src/scheduler/scheduler.cpp
+++ b/packages/decision/src/scheduler/scheduler.cpp
@@ -119,6 +119,7 @@
     const Job *known = findJob(state, id);
     if (known && request.round_ <= known->request_.round_)
         return;
+    notePlanRequest(state.coldRates_, now);
     if (known) {
         if (state.granted_.contains(id))
             state.jobs_.insert(state.granted_.extract(id));
@@ -452,6 +453,7 @@
         state.nextSweepAt_ = std::min(state.nextSweepAt_, state.dispatchPausedUntil_);
     sweepPlanned(state, now, effects);
     sweepGranted(state, now, effects);
+    removeOldGrants(state.coldRates_, now);
     sendDueFrees(state, now, effects);
     requestDispatchOfAll(state, now);
     dispatchCalls(state, now, effects);
--- a/packages/decision/src/scheduler/scheduler_grant.cpp
+++ b/packages/decision/src/scheduler/scheduler_grant.cpp
@@ -66,10 +66,15 @@
     bool chosenAvoided = true;
     const PromptKeys keys = promptKeys(job.request_);
     const auto &avoid = job.request_.avoid_;
+    std::uint32_t coldPassedOver = 0;
     for (const EngineCandidate &candidate : engineCandidates(state, job.request_.pool_)) {
         const Engine &engine = *candidate.engine_;
         if (isAtCapacity(engine, capacity, job.request_))
             continue;
+        if (!hasColdRoom(state.coldRates_, *candidate.upstream_, spec->coldRate_, now)) {
+            ++coldPassedOver;
+            continue;
+        }
         const bool avoided = isAvoided(engine.avoidance_, now)
             || std::find(avoid.begin(), avoid.end(), candidate.upstream_->name_) != avoid.end();
         if (chosen && avoided && !chosenAvoided)
@@ -87,6 +92,8 @@
         chosenAvoided = avoided;
         chosenCost = cost;
     }
+    if (chosen)
+        chosenCost.coldPassedOver_ = coldPassedOver;
     return chosen;
 }
 
@@ -104,6 +111,8 @@
     job.grantedAt_ = now;
     job.engine_ = upstream->name_;
     addRun(state.engines_[upstream->name_], job.request_, cost, now);
+    if (const Pool *pool = findByName(state.view_->fleet_.pools_, job.request_.pool_))
+        recordGrant(state.coldRates_, upstream->name_, pool->coldRate_, now);
     if (job.trial_)
         recordTrial(state.quarantines_, now, job.request_.id_, job.request_.parts_);
     addDecisionLine(effects, job,
@@ -113,7 +122,10 @@
                         + " crossing_bytes=" + std::to_string(cost.crossDataCenterBytes_)
                         + " stages_ms=" + millisecondsText(now - job.arrivedAt_)
                         + " predicted_ms=" + millisecondsText(job.predictedStageTime_)
-                        + " view=" + std::to_string(state.view_->version_));
+                        + " view=" + std::to_string(state.view_->version_)
+                        + (cost.coldPassedOver_ > 0
+                               ? " cold_passed_over=" + std::to_string(cost.coldPassedOver_)
+                               : std::string()));
     effects.push_back(SendToPeer{id.entry_,
                                  PlanGrant{job.request_.id_, job.request_.round_, upstream->name_,
                                            upstream->agentBoot_, finalHandles(job), job.trial_}});
--- a/packages/decision/tests/stage_model.hpp
+++ b/packages/decision/tests/stage_model.hpp
@@ -25,6 +25,7 @@
     milliseconds patience_{0};
     /// Processor time of a scheduler for each event; events wait while it is busy.
     microseconds eventTime_{0};
+    double coldRate_ = 0; ///< requests a second that a cold engine bears; 0: unlimited
     std::uint64_t seed_ = 1; ///< seed of the arrivals and the numbers of pieces
 };
 
@@ -81,6 +82,7 @@
         engines.name_ = "engine";
         engines.selector_ = "service = engine";
         engines.engine_ = EngineCapacity{64, 400'000};
+        engines.coldRate_ = settings.coldRate_;
         view->fleet_.pools_.push_back(engines);
         for (int i = 1; i <= settings.engines_; ++i)
             view->upstreams_.push_back(makeUpstream("engine", i));
@@ -278,6 +280,20 @@
             handle(i, SchedulerView{view_});
     }
 
+    /// @brief Publishes a view in which an upstream is cold or warm.
+    void setCold(const std::string &name, bool cold)
+    {
+        auto view = std::make_shared<View>(*view_);
+        ++view->version_;
+        for (Upstream &upstream : view->upstreams_) {
+            if (upstream.name_ == name)
+                upstream.cold_ = cold;
+        }
+        view_ = view;
+        for (int i = 0; i < settings_.schedulers_; ++i)
+            handle(i, SchedulerView{view_});
+    }
+
     /// @brief Publishes a view with the quarantines that schedulers have stored.
     void publishQuarantines()
     {
--- a/packages/wire/schema/fleet.capnp
+++ b/packages/wire/schema/fleet.capnp
@@ -74,6 +74,7 @@
   connectionLimit @3 :UInt32;
   pieces @4 :PieceCapacity;
   engine @5 :EngineCapacity;
+  coldRate @6 :Float64;
 }
 
 struct Account {
@@ -188,6 +189,7 @@
   operatorLabels @9 :List(Label);
   direct @10 :Bool;
   sequence @11 :UInt64;
+  cold @12 :Bool;
 }
 
 struct Suspect {
