Entries can rotate among plain upstreams by their speed, off by default

Cause: many entries with few requests each take the cheapest upstream by old averages, meet at the same one and leave others idle.

Change: chooseEvenly() spreads an entry's own runs by a weighted rotation. [routing] even_load turns it on; without it chooseUpstream() chooses as before.

No run with processes.

--- a/packages/core/include/chervilspring/settings.hpp
+++ b/packages/core/include/chervilspring/settings.hpp
@@ -108,6 +108,7 @@
     double retryRatio_ = 0; ///< retries allowed for each request, fleet-wide
     std::uint32_t retrySlack_ = 0; ///< additional retries allowed in each window, fleet-wide
     milliseconds retryWindow_{0}; ///< window in which requests and retries are counted
+    bool evenLoad_ = false; ///< an entry spreads requests evenly among plain upstreams
 };
 
 /// @brief Returns the port on which the schedulers of control processes listen for entries.
--- a/packages/core/src/settings.cpp
+++ b/packages/core/src/settings.cpp
@@ -89,6 +89,9 @@
      "ids of quarantined prompt parts that the leader releases when it reloads the settings"},
     {"agent", "queue_limit", SettingKind::Number, "", 1, 100000, "256", "",
      "attempts that may wait for the upstream"},
+    {"routing", "even_load", SettingKind::Flag, "", 0, 0, "false", "",
+     "whether an entry spreads requests among plain upstreams by their speed, instead of sending "
+     "each to the one with the shortest expected time"},
 };
 
 std::string describeAllowed(const SettingSpec &spec)
@@ -302,7 +305,7 @@
 
 Settings buildSettings(const CheckedSection &node, const CheckedSection &log,
                        const CheckedSection &control, const CheckedSection &agent,
-                       const CheckedSection &retries)
+                       const CheckedSection &retries, const CheckedSection &routing)
 {
     Settings settings;
     settings.role_ = parseRole(node.at("role"));
@@ -348,6 +351,7 @@
     settings.replaceAfter_ = durationOf(control, "replace_after");
     parseIds(control.at("lift_quarantines"), settings.liftedQuarantines_);
     settings.queueLimit_ = numberOf<std::uint32_t>(agent, "queue_limit");
+    settings.evenLoad_ = routing.at("even_load") == "true";
     return settings;
 }
 
@@ -413,16 +417,18 @@
 leaf::result<Settings> parseSettings(const std::string &text, const std::string &file)
 {
     BOOST_LEAF_AUTO(sections, parseIni(text, file));
-    const std::vector<std::string> sectionNames = {"node", "log", "control", "agent", "retries"};
+    const std::vector<std::string> sectionNames = {"node",  "log",     "control",
+                                                   "agent", "retries", "routing"};
     std::map<std::string, IniSection> byName;
     for (const std::string &name : sectionNames)
         byName[name].name_ = name;
     for (const IniSection &section : sections) {
         if (std::find(sectionNames.begin(), sectionNames.end(), section.name_)
             == sectionNames.end())
-            return settingError(ErrorId::SettingUnknown, file,
-                                "section [" + section.name_
-                                    + "] is unknown; allowed: node, log, control, agent, retries");
+            return settingError(
+                ErrorId::SettingUnknown, file,
+                "section [" + section.name_
+                    + "] is unknown; allowed: node, log, control, agent, retries, routing");
         byName[section.name_] = section;
     }
     BOOST_LEAF_AUTO(node, checkSection(byName["node"], table, "node", file));
@@ -430,7 +436,8 @@
     BOOST_LEAF_AUTO(control, checkSection(byName["control"], table, "control", file));
     BOOST_LEAF_AUTO(agent, checkSection(byName["agent"], table, "agent", file));
     BOOST_LEAF_AUTO(retries, checkSection(byName["retries"], table, "retries", file));
-    Settings settings = buildSettings(node, log, control, agent, retries);
+    BOOST_LEAF_AUTO(routing, checkSection(byName["routing"], table, "routing", file));
+    Settings settings = buildSettings(node, log, control, agent, retries, routing);
     if (settings.control_.empty())
         return settingError(ErrorId::SettingMissing, file,
                             "section [node], key \"control\" or \"seeds\" is missing");
--- a/packages/core/tests/unit-settings.cpp
+++ b/packages/core/tests/unit-settings.cpp
@@ -144,6 +144,41 @@
     BOOST_TEST(accepted == row.accepted_);
 }
 
+struct EvenLoadRow
+{
+    const char *text_; ///< text after the valid settings
+    bool accepted_;
+    bool evenLoad_ = false;
+};
+
+std::ostream &operator<<(std::ostream &stream, const EvenLoadRow &row)
+{
+    return stream << row.text_;
+}
+
+const EvenLoadRow evenLoadTable[] = {
+    {"", true, false},
+    {"[routing]\n", true, false},
+    {"[routing]\neven_load = false\n", true, false},
+    {"[routing]\neven_load = true\n", true, true},
+    {"[routing]\neven_load = 1\n", false},
+    {"[routing]\neven = true\n", false},
+    {"[retries]\neven_load = true\n", false},
+};
+
+BOOST_DATA_TEST_CASE(even_load_is_a_flag_that_is_off_by_default,
+                     boost::unit_test::data::make(evenLoadTable), row)
+{
+    const bool accepted = handleErrors(
+        [&]() -> leaf::result<void> {
+            BOOST_LEAF_AUTO(settings, parseSettings(validSettings + row.text_, "file.ini"));
+            BOOST_TEST(settings.evenLoad_ == row.evenLoad_);
+            return {};
+        },
+        [](const Error &) {});
+    BOOST_TEST(accepted == row.accepted_);
+}
+
 BOOST_AUTO_TEST_CASE(valid_settings_are_accepted)
 {
     handleErrors(
--- a/packages/decision/include/chervilspring/detail/direct/direct.hpp
+++ b/packages/decision/include/chervilspring/detail/direct/direct.hpp
@@ -6,6 +6,7 @@
 #pragma once
 
 #include "chervilspring/detail/direct/caller_patience.hpp"
+#include "chervilspring/detail/direct/even_choice.hpp"
 #include "chervilspring/detail/direct/retry_budget.hpp"
 #include "chervilspring/detail/direct/route_table.hpp"
 #include "chervilspring/detail/direct/upstream_choice.hpp"
@@ -192,6 +193,7 @@
     std::uint32_t retrySlack_ = 0; ///< additional retries for each pool and window, fleet-wide
     nanoseconds retryWindow_ = seconds(10); ///< window in which requests and retries are counted
     std::uint64_t seed_ = 1; ///< seed of the random choices
+    bool evenLoad_ = false; ///< chooseEvenly() chooses among plain upstreams
 };
 
 /// @brief Processing phase of a request.
@@ -270,6 +272,7 @@
     std::deque<BrokenRun> unexplainedBreaks_;
     Instant replanAt_ = Instant::max(); ///< when requests without a scheduler are planned again
     UpstreamTable upstreamStats_;
+    std::map<std::string, Rotation> rotations_; ///< by pool name; used if evenLoad_ is set
     NoticeTable notices_; ///< upstreams that leave or want no requests for a while
     std::map<std::string, RetryWindow> retryWindows_; ///< by pool name
     std::uint32_t sharePpm_ = 0; ///< this entry's share of fleet-wide limits, in millionths
--- a/packages/decision/include/chervilspring/detail/direct/upstream_choice.hpp
+++ b/packages/decision/include/chervilspring/detail/direct/upstream_choice.hpp
@@ -23,6 +23,14 @@
 /// @brief Statistics by upstream name.
 using UpstreamTable = std::map<std::string, UpstreamStats>;
 
+/// @brief Returns the cost of another run at an upstream.
+///
+/// It is the expected time until the end of the run, if the upstream processes its runs one after
+/// the other. The failure rate increases it. An upstream without measurements has a default time.
+/// @param upstreamStats statistics of the upstream
+/// @return the cost in nanoseconds, greater than 0 if the average time is
+double expectedCost(const UpstreamStats &upstreamStats);
+
 /// @brief Chooses the upstream of a run: the one with the shortest expected time.
 ///
 /// Upstreams that are in the pause after a failure are chosen only if there is no other.
--- a/packages/decision/src/direct/direct_planning.cpp
+++ b/packages/decision/src/direct/direct_planning.cpp
@@ -271,6 +271,9 @@
     if (!state.unexplainedBreaks_.empty())
         reportRestarted(state, now, effects);
     removeUnlisted(state.upstreamStats_, *state.table_);
+    std::erase_if(state.rotations_, [&](const auto &item) {
+        return !state.table_->upstreamsByPool_.contains(item.first);
+    });
     removeUnlistedRoutes(state);
 }
 
--- a/packages/decision/src/direct/direct_runs.cpp
+++ b/packages/decision/src/direct/direct_runs.cpp
@@ -282,9 +282,12 @@
     const auto found = state.table_->upstreamsByPool_.find(request.pool_);
     const auto &upstreams =
         found == state.table_->upstreamsByPool_.end() ? noUpstreams : found->second;
-    const Upstream *upstream =
-        chooseUpstream(usableUpstreams(state.notices_, upstreams, now), state.upstreamStats_,
-                       request.avoidedUpstreams_, state.random_(), now);
+    const auto usable = usableUpstreams(state.notices_, upstreams, now);
+    const Upstream *upstream = state.settings_.evenLoad_
+        ? chooseEvenly(state.rotations_[request.pool_], usable, state.upstreamStats_,
+                       request.avoidedUpstreams_, state.random_(), now)
+        : chooseUpstream(usable, state.upstreamStats_, request.avoidedUpstreams_, state.random_(),
+                         now);
     if (!upstream) {
         failUnusable(state, now, token, upstreams, effects);
         return;
--- a/packages/decision/src/direct/upstream_choice.cpp
+++ b/packages/decision/src/direct/upstream_choice.cpp
@@ -11,8 +11,8 @@
 constexpr nanoseconds initialAvoidance = milliseconds(300); // pause after the first failure
 constexpr double failureCostFactor = 10; // relative increase of the cost at a failure rate of 1
 
-// Returns the expected time in nanoseconds until the end of another run, if the upstream processes
-// its runs one after the other. The failure rate increases it.
+} // namespace
+
 double expectedCost(const UpstreamStats &upstreamStats)
 {
     const nanoseconds averageTime = upstreamStats.averageTime_ == nanoseconds(0)
@@ -22,8 +22,6 @@
         * (1 + failureCostFactor * upstreamStats.failureRate_);
 }
 
-} // namespace
-
 const Upstream *chooseUpstream(const std::vector<const Upstream *> &upstreams,
                                const UpstreamTable &stats, const std::vector<std::string> &avoided,
                                std::uint64_t randomValue, Instant now)
--- a/packages/server/src/direct_thread.cpp
+++ b/packages/server/src/direct_thread.cpp
@@ -30,6 +30,7 @@
     direct.retryRatio_ = settings.retryRatio_;
     direct.retrySlack_ = settings.retrySlack_;
     direct.retryWindow_ = settings.retryWindow_;
+    direct.evenLoad_ = settings.evenLoad_;
     direct.seed_ = randomId();
     return direct;
 }
