Lost voters are removed before their replacements are promoted

Cause: the process with the blank disk was made a fourth voter before the member of its lost disk was removed. The list is in force once it is appended and needs three of four votes. If the new voter fails before it has stored the entry, and loses its disk, two of four are left for good.

A voter whose process has come back with another disk is removed at once, and a silent one when a learner is ready to replace it. A learner is promoted only if the other voters that answered since it caught up are a quorum of the longer list. So no voter that has just been made one is ever needed to remove it again. The same fault with a VM that is replaced at a new address, and with five voters, is covered.

--- a/packages/decision/include/chervilspring/detail/control/consensus.hpp
+++ b/packages/decision/include/chervilspring/detail/control/consensus.hpp
@@ -40,6 +40,8 @@
     std::uint64_t nextIndex_ = 1; ///< index of the next entry to send
     std::uint64_t matchIndex_ = 0; ///< highest entry known to be durable at the member
     std::uint64_t ackedRound_ = 0; ///< newest heartbeat round that the member has answered
+    /// First heartbeat round that was sent after matchIndex_ became known; 0: it isn't known.
+    std::uint64_t caughtUpRound_ = 0;
     Instant lastHeard_{}; ///< when its last AppendReply arrived
     Instant lastSnapshotSent_{}; ///< when a snapshot was last sent to it
 };
--- a/packages/decision/include/chervilspring/detail/control/consensus_steps.hpp
+++ b/packages/decision/include/chervilspring/detail/control/consensus_steps.hpp
@@ -22,6 +22,9 @@
 /// @brief Returns the number of voters in the member list in force.
 std::size_t voterCount(const ConsensusState &state);
 
+/// @brief Returns the smallest majority of a number of voters.
+std::size_t quorumOf(std::size_t voters);
+
 /// @brief Returns the smallest number of voters that forms a majority.
 std::size_t quorum(const ConsensusState &state);
 
--- a/packages/decision/include/chervilspring/detail/control/membership.hpp
+++ b/packages/decision/include/chervilspring/detail/control/membership.hpp
@@ -15,9 +15,10 @@
 
 /// @brief Plans the next membership change of the leader.
 ///
-/// A change adds a learner, promotes a learner that has caught up, or removes a lost voter. A
-/// replacement is promoted before the lost voter is removed, so that a quorum always has the
-/// complete log.
+/// A change adds a learner, promotes a learner that has caught up, or removes a lost voter. A lost
+/// voter is removed before its replacement is promoted, and a learner is promoted only while the
+/// other voters form a quorum without it: a process that fails before it has stored that it votes,
+/// and loses its disk, must not be needed to remove it again.
 /// @param state the consensus state
 /// @param now local time
 /// @return the change, or nothing if none is needed or the last one is not committed yet
--- a/packages/decision/src/control/consensus_common.cpp
+++ b/packages/decision/src/control/consensus_common.cpp
@@ -45,9 +45,14 @@
         std::count_if(list.begin(), list.end(), [](const Member &m) { return m.voter_; }));
 }
 
+std::size_t quorumOf(std::size_t voters)
+{
+    return voters / 2 + 1;
+}
+
 std::size_t quorum(const ConsensusState &state)
 {
-    return voterCount(state) / 2 + 1;
+    return quorumOf(voterCount(state));
 }
 
 std::uint64_t lastTerm(const ConsensusState &state)
--- a/packages/decision/src/control/consensus_election.cpp
+++ b/packages/decision/src/control/consensus_election.cpp
@@ -16,7 +16,8 @@
     state.lastQuorumContact_ = now;
     state.nextHeartbeat_ = now;
     for (const Member &member : members(state))
-        state.progress_[member.id_] = Progress{lastIndex(state) + 1, 0, 0, now, Instant{}};
+        state.progress_[member.id_] =
+            Progress{.nextIndex_ = lastIndex(state) + 1, .lastHeard_ = now};
     state.termStartIndex_ = lastIndex(state) + 1;
     append(state, now, wall, Noop{state.hardState_.term_}, output);
 }
--- a/packages/decision/src/control/consensus_replication.cpp
+++ b/packages/decision/src/control/consensus_replication.cpp
@@ -245,6 +245,8 @@
     progress.lastHeard_ = now;
     progress.ackedRound_ = std::max(progress.ackedRound_, reply.round_);
     if (reply.success_) {
+        if (progress.caughtUpRound_ == 0)
+            progress.caughtUpRound_ = state.heartbeatRound_ + 1;
         progress.matchIndex_ = std::max(progress.matchIndex_, reply.match_);
         progress.nextIndex_ = std::max(progress.nextIndex_, progress.matchIndex_ + 1);
         advanceCommit(state, output);
--- a/packages/decision/src/control/membership.cpp
+++ b/packages/decision/src/control/membership.cpp
@@ -82,45 +82,94 @@
     return voters < target || (voters == target && anyLost);
 }
 
-// Tells whether enough voters remain when a lost voter is removed. With open membership no number
-// of voters is configured. One of three or more voters may then be removed if their number is above
-// maxOpenVoters, or if it is even, since one voter fewer tolerates as many failures.
-bool canRemoveVoter(const ConsensusState &state)
+const Member *findReadyLearner(const ConsensusState &state, Instant now)
+{
+    if (!needsVoter(state, now))
+        return nullptr;
+    const auto &list = members(state);
+    const auto found = std::find_if(list.begin(), list.end(), [&](const Member &member) {
+        return !member.voter_ && !isReplaced(state, member) && hasCaughtUp(state, member, now);
+    });
+    return found == list.end() ? nullptr : &*found;
+}
+
+// Finds the voter to remove first: one whose disk was replaced, else the one that is silent for the
+// longest time.
+const Member *findLostVoter(const ConsensusState &state, Instant now)
+{
+    const Member *lost = nullptr;
+    Instant lostSince{};
+    for (const Member &member : members(state)) {
+        if (!member.voter_ || !isLost(state, member, now))
+            continue;
+        if (isReplaced(state, member))
+            return &member;
+        const auto progress = state.progress_.find(member.id_);
+        const Instant lastHeard =
+            progress == state.progress_.end() ? Instant{} : progress->second.lastHeard_;
+        if (lost && lastHeard >= lostSince)
+            continue;
+        lost = &member;
+        lostSince = lastHeard;
+    }
+    return lost;
+}
+
+// Tells whether a lost voter may be removed. The remaining voters must be able to go on without the
+// next one that joins: a quorum of them is never larger than before.
+// hasReplacement: a learner has caught up that needs its place
+bool canRemoveVoter(const ConsensusState &state, const Member &lost, bool hasReplacement)
 {
     const std::size_t voters = voterCount(state);
+    if (voters <= 2)
+        return false;
+    // A voter without its disk never votes again, while a silent one may return.
+    if (isReplaced(state, lost) || hasReplacement)
+        return true;
+    // With open membership no number of voters is configured. An even number of them tolerates no
+    // more failures than one voter fewer.
     if (state.settings_.openMembership_)
-        return voters > 2 && (voters % 2 == 0 || voters > maxOpenVoters);
+        return voters % 2 == 0 || voters > maxOpenVoters;
     return voters > std::min(state.settings_.controlNames_.size(), maxVoters);
 }
 
-std::optional<MembershipPlan> promoteLearner(const ConsensusState &state, Instant now)
+// Tells whether the other voters form a quorum without a learner that is promoted. It may fail
+// before it has stored that it votes, and lose its disk, so that nobody could remove it.
+bool canPromoteLearner(const ConsensusState &state, const Member &learner, Instant now)
 {
+    const std::size_t voters = voterCount(state);
+    if (voters == 1) // there is no other way to get a second voter
+        return true;
+    const std::uint64_t round = state.progress_.at(learner.id_).caughtUpRound_;
+    const auto isRunning = [&](const Member &member) {
+        if (member.id_ == state.settings_.self_.id_)
+            return true;
+        const auto found = state.progress_.find(member.id_);
+        return found != state.progress_.end() && found->second.ackedRound_ >= round
+            && !isReplaced(state, member)
+            && heardWithin(state, member.id_, now, state.settings_.electionTimeout_);
+    };
     const auto &list = members(state);
-    if (!needsVoter(state, now))
-        return std::nullopt;
-    for (const Member &member : list) {
-        if (member.voter_ || isReplaced(state, member) || !hasCaughtUp(state, member, now))
-            continue;
-        std::vector<Member> changed = list;
-        std::find(changed.begin(), changed.end(), member)->voter_ = true;
-        return MembershipPlan{changed, "promote name=" + member.name_};
-    }
-    return std::nullopt;
+    const auto running = std::count_if(list.begin(), list.end(), [&](const Member &member) {
+        return member.voter_ && isRunning(member);
+    });
+    return static_cast<std::size_t>(running) >= quorumOf(voters + 1);
 }
 
-std::optional<MembershipPlan> removeVoter(const ConsensusState &state, Instant now)
+MembershipPlan planPromotion(const ConsensusState &state, const Member &learner)
 {
-    const auto &list = members(state);
-    if (!canRemoveVoter(state))
-        return std::nullopt;
-    for (const Member &member : list) {
-        if (!member.voter_ || !isLost(state, member, now))
-            continue;
-        std::vector<Member> changed = list;
-        std::erase(changed, member);
-        return MembershipPlan{changed, "remove name=" + member.name_};
-    }
-    return std::nullopt;
+    std::vector<Member> list = members(state);
+    std::find(list.begin(), list.end(), learner)->voter_ = true;
+    return MembershipPlan{list, "promote name=" + learner.name_};
+}
+
+MembershipPlan planRemoval(const ConsensusState &state, const Member &lost)
+{
+    std::vector<Member> list = members(state);
+    std::erase(list, lost);
+    return MembershipPlan{list,
+                          "remove name=" + lost.name_ + " reason="
+                              + (isReplaced(state, lost) ? "disk_replaced" : "silent")};
 }
 
 } // namespace
@@ -129,10 +178,12 @@
 {
     if (isChangeInProgress(state))
         return std::nullopt;
-    if (auto plan = removeVoter(state, now))
-        return plan;
-    if (auto plan = promoteLearner(state, now))
-        return plan;
+    const Member *learner = findReadyLearner(state, now);
+    const Member *lost = findLostVoter(state, now);
+    if (lost && canRemoveVoter(state, *lost, learner != nullptr))
+        return planRemoval(state, *lost);
+    if (learner && canPromoteLearner(state, *learner, now))
+        return planPromotion(state, *learner);
     return addLearner(state, now);
 }
 
--- a/packages/decision/tests/control_group.hpp
+++ b/packages/decision/tests/control_group.hpp
@@ -200,6 +200,23 @@
         }
     }
 
+    /// @brief Lets time pass like run() until a condition holds after a single event.
+    /// @return false if the condition has not held in this time
+    bool runUntil(milliseconds time, const std::function<bool()> &condition)
+    {
+        const Instant end = now_ + time;
+        while (now_ < end) {
+            for (int i = 0; i < 2000; ++i) {
+                if (condition())
+                    return true;
+                if (!step())
+                    break;
+            }
+            advance(milliseconds(50));
+        }
+        return condition();
+    }
+
     /// @brief Proposes a command to the first running process that is leader.
     /// @return token of the proposal, 0 if there is no leader
     std::uint64_t propose(const Command &command)
--- a/packages/decision/tests/unit-open_membership.cpp
+++ b/packages/decision/tests/unit-open_membership.cpp
@@ -77,6 +77,71 @@
     BOOST_TEST(voterNames(group).size() == 3u);
 }
 
+struct LostDiskRow
+{
+    const char *description_;
+    int size_; ///< voters at the beginning
+    int silent_; ///< voters that crash for good before
+    bool newName_; ///< the process that loses its disks replaces a silent voter at a new address
+};
+
+std::ostream &operator<<(std::ostream &stream, const LostDiskRow &row)
+{
+    return stream << row.description_;
+}
+
+const LostDiskRow lostDiskTable[] = {
+    {"one of three voters", 3, 0, false},
+    {"one of five voters, another one is silent", 5, 1, false},
+    {"replacement of one of three voters", 3, 1, true},
+    {"replacement of one of five voters, another one is silent", 5, 2, true},
+};
+
+// Guards against voters that are lost for good but count towards the quorum: a process crashes and
+// loses its disk each time that it is made a voter, before it has stored that it is one.
+BOOST_DATA_TEST_CASE(process_that_loses_its_disk_at_each_promotion_leaves_a_quorum,
+                     data::make(lostDiskTable) * data::xrange(1, 4), row, seed)
+{
+    ControlGroup group(row.size_, static_cast<std::uint64_t>(seed));
+    group.restartWithSeeds({"c1", "c2", "c3"});
+    group.run(seconds(5));
+    BOOST_REQUIRE(voterNames(group).size() == static_cast<std::size_t>(row.size_));
+    std::vector<std::string> others = group.names();
+    std::erase(others, group.leader());
+    for (int i = 0; i < row.silent_; ++i) {
+        group.crash(others.back());
+        others.pop_back();
+    }
+    const std::string unstable = row.newName_ ? "c9" : others.back();
+    if (row.newName_)
+        group.addProcess(unstable, {"c1", "c2", "c3"});
+    const auto isVoter = [&] {
+        const std::string leader = group.leader();
+        if (leader.empty())
+            return false;
+        const Member *member = findMember(group.member(leader).state_.consensus_,
+                                          group.member(unstable).disk_.synced_.memberId_);
+        return member && member->voter_;
+    };
+    for (int i = 0; i < 4; ++i) {
+        if (i > 0 || !row.newName_) {
+            group.replaceDisk(unstable);
+            group.run(milliseconds(400));
+            group.boot(unstable);
+        }
+        BOOST_REQUIRE_MESSAGE(group.runUntil(seconds(5), isVoter), "promotion " << i);
+    }
+    group.replaceDisk(unstable);
+    group.run(seconds(3));
+    const std::uint64_t token = group.propose(document(3, "three"));
+    group.run(seconds(1));
+    BOOST_TEST((group.answers_[token].kind_ == OutcomeKind::Accepted));
+    // The process is a voter again once it keeps its disk.
+    group.boot(unstable);
+    group.run(seconds(4));
+    BOOST_TEST(isVoter());
+}
+
 BOOST_AUTO_TEST_CASE(blank_disks_after_the_first_start_bootstrap_no_cluster)
 {
     ControlGroup group(3, 2);
