--- a/packages/decision/src/control/fleet_state.cpp
+++ b/packages/decision/src/control/fleet_state.cpp
@@ -259,13 +259,24 @@
     return outcome(OutcomeKind::Accepted, entry.index_);
 }
 
+// Records a departure as the newest one. Of each upstream only the newest start is kept.
+void recordDeparture(FleetState &state, const std::string &name, std::uint64_t boot)
+{
+    std::erase_if(state.departures_, [&](const Departure &departure) {
+        if (departure.name_ != name)
+            return false;
+        boot = std::max(boot, departure.agentBoot_);
+        return true;
+    });
+    state.departures_.push_back(Departure{name, boot});
+    if (state.departures_.size() > maxDepartures)
+        state.departures_.pop_front();
+}
+
 Outcome applyCommand(FleetState &state, const LogEntry &entry, const RemoveUpstream &command)
 {
-    if (command.departed_) {
-        state.departures_.push_back(Departure{command.name_, command.agentBoot_});
-        if (state.departures_.size() > maxDepartures)
-            state.departures_.pop_front();
-    }
+    if (command.departed_)
+        recordDeparture(state, command.name_, command.agentBoot_);
     Upstream *upstream = findUpstream(state, command.name_);
     const bool present = upstream && upstream->phase_ != UpstreamPhase::Gone;
     if (!present || upstream->agentBoot_ != command.agentBoot_)
