The end of a leaving upstream's lease is recorded like a departure

Callers would see: requests at an upstream that had announced that it leaves, was cut off from the control processes until its lease expired, and is listed again by an announcement from before that arrives late.

decision:leaving_upstream_is_not_listed_again_after_its_lease failed before.

--- a/packages/decision/src/control/control.cpp
+++ b/packages/decision/src/control/control.cpp
@@ -416,8 +416,11 @@
             continue;
         const auto node = state.nodes_.find(upstream.name_);
         const bool hasExpired = node == state.nodes_.end() || now - node->second.lastHeard_ > lease;
-        if (hasExpired)
-            expired.push_back(RemoveUpstream{upstream.name_, upstream.agentBoot_});
+        if (!hasExpired)
+            continue;
+        // An upstream that is leaving will not return: ignore what it announced before.
+        const bool departed = upstream.direct_ && upstream.phase_ == UpstreamPhase::Leaving;
+        expired.push_back(RemoveUpstream{upstream.name_, upstream.agentBoot_, departed});
     }
     // Keep an expired entry until its share has expired too, so that the share is still counted.
     std::erase_if(state.nodes_, [&](const auto &item) {
--- a/packages/decision/tests/unit-open_membership.cpp
+++ b/packages/decision/tests/unit-open_membership.cpp
@@ -253,4 +253,25 @@
     BOOST_TEST(!group.answers_.contains(902));
 }
 
+// Guards against a late announcement that lists a leaving upstream again whose lease has expired.
+BOOST_AUTO_TEST_CASE(leaving_upstream_is_not_listed_again_after_its_lease)
+{
+    ControlGroup group(3, 9);
+    group.restartWithSeeds({"c1", "c2", "c3"});
+    group.run(seconds(4));
+    const std::string leader = group.leader();
+    group.handle(leader,
+                 LocalAnnouncement{900, directUpstream("a", 100, 5, UpstreamPhase::Leaving)});
+    group.run(seconds(4)); // longer than the lease
+    const FleetState &fleet = group.member(leader).state_.fleet_;
+    BOOST_REQUIRE(fleet.view_.upstreams_.empty());
+    group.handle(leader, LocalAnnouncement{901, directUpstream("a", 100, 4)});
+    group.run(milliseconds(200));
+    BOOST_TEST(fleet.view_.upstreams_.empty());
+    BOOST_TEST((group.answers_.at(901).kind_ == OutcomeKind::Accepted));
+    group.handle(leader, LocalAnnouncement{902, directUpstream("a", 200, 1)});
+    group.run(milliseconds(200));
+    BOOST_TEST(fleet.view_.upstreams_.size() == 1u);
+}
+
 } // namespace
