Upstreams that go on after a late departure are listed again

Cause: the departure of the server's earlier start was held up and arrived after the new start had registered. A departure names no start, so it was taken for one of the new start and kept without an end: each later announcement of that start was refused as outdated. Evidence: the leader's log has the new start's announcement, then phase=Gone reason=departed with its boot id, and nothing after that. Refused announcements left no line; now they do.

Three announcements with growing sequences over 2 s or more, after the departure, show that the upstream goes on. The leader counts them, and the announcement that lists it again says so to the state machine, which forgets the departure. Late announcements come alone, at once or in the opposite order, and list nothing.

--- a/packages/core/include/chervilspring/messages.hpp
+++ b/packages/core/include/chervilspring/messages.hpp
@@ -268,8 +268,9 @@
 struct AnnounceUpstream
 {
     Upstream upstream_;
+    bool returned_ = false; ///< it goes on after a departure, which is to be forgotten
 };
-BOOST_DESCRIBE_STRUCT(AnnounceUpstream, (), (upstream_))
+BOOST_DESCRIBE_STRUCT(AnnounceUpstream, (), (upstream_, returned_))
 
 /// @brief Removes an upstream that left or whose lease expired, unless its boot id has changed.
 struct RemoveUpstream
--- a/packages/decision/include/chervilspring/detail/control/control.hpp
+++ b/packages/decision/include/chervilspring/detail/control/control.hpp
@@ -100,6 +100,16 @@
     std::uint64_t sequenceBoot_ = 0; ///< boot id that sequence_ belongs to
 };
 
+/// @brief Announcements of a direct upstream after its departure, each with a higher sequence.
+struct ReturnSigns
+{
+    std::uint64_t boot_ = 0; ///< boot id in the announcements
+    std::uint64_t sequence_ = 0; ///< sequence of the last one
+    int announcements_ = 0; ///< number of them
+    Instant firstAt_{}; ///< when the first one arrived
+    Instant lastAt_{}; ///< when the last one arrived
+};
+
 /// @brief Configuration of a control process.
 struct ControlSettings
 {
@@ -115,6 +125,7 @@
     FleetState fleet_; ///< the replicated state machine
     std::map<std::uint64_t, Waiter> waiters_; ///< by log index
     std::map<std::string, NodeStatus> nodes_; ///< by node name
+    std::map<std::string, ReturnSigns> returnSigns_; ///< by name of the upstream
     /// By suspect digest: last known number of crashes, and when this process saw it change.
     std::map<std::uint64_t, std::pair<std::uint32_t, Instant>> suspectCrashes_;
     MemberRole lastRole_ = MemberRole::Learner; ///< role at the end of the last step
--- a/packages/decision/include/chervilspring/detail/control/fleet_state.hpp
+++ b/packages/decision/include/chervilspring/detail/control/fleet_state.hpp
@@ -49,11 +49,12 @@
 /// @brief Tells whether two announcements differ in nothing but their sequence.
 bool sameAnnouncement(const Upstream &left, const Upstream &right);
 
-/// @brief Tells whether an announcement of a direct upstream is outdated.
-///
-/// It is, if a newer announcement of the same upstream is known, if an upstream that started later
-/// is registered at the same address, or if the upstream has announced its departure.
-bool isOutdated(const FleetState &state, const Upstream &announced);
+/// @brief Tells whether a newer announcement of a direct upstream is known, or an upstream that
+/// started later is registered at its address.
+bool isSuperseded(const FleetState &state, const Upstream &announced);
+
+/// @brief Tells whether a departure of a direct upstream is known that its start may belong to.
+bool hasDeparted(const FleetState &state, const Upstream &announced);
 
 /// @brief Applies one committed entry.
 /// @param state the state
--- a/packages/decision/src/control/control.cpp
+++ b/packages/decision/src/control/control.cpp
@@ -18,6 +18,11 @@
 // which changes have to be in force everywhere, and long enough for the announcements of a fleet
 // that starts.
 constexpr nanoseconds viewPushInterval = milliseconds(100);
+// An upstream that announces itself so often, for so long, goes on after its departure.
+// Announcements from before the departure may arrive after it, too, but hardly in order over this
+// time: after a network cut, TCP retransmits what was sent last first.
+constexpr int returnAnnouncements = 3;
+constexpr nanoseconds returnPeriod = seconds(2);
 // An update that a heartbeat doesn't confirm after this time counts as lost.
 constexpr nanoseconds updateTimeout = milliseconds(500);
 
@@ -155,6 +160,7 @@
         return;
     if (state.lastRole_ == MemberRole::Leader)
         failWaiters(state, effects);
+    state.returnSigns_.clear();
     if (role == MemberRole::Leader) {
         state.leadingSince_ = now;
         // No entry can hold a share before the first fleet configuration exists.
@@ -208,6 +214,8 @@
             effects);
         return;
     }
+    if (const auto *removal = std::get_if<RemoveUpstream>(&command); removal && removal->departed_)
+        state.returnSigns_.erase(removal->name_);
     Waiter stored = waiter;
     stored.term_ = state.consensus_.hardState_.term_;
     state.waiters_[*index] = stored;
@@ -267,6 +275,25 @@
     });
 }
 
+// Records an announcement of an upstream that has departed. Returns whether the upstream goes on,
+// so that the departure was one of an earlier start and arrived late.
+bool hasReturned(ControlState &state, Instant now, const Upstream &announced)
+{
+    ReturnSigns &signs = state.returnSigns_[announced.name_];
+    if (announced.agentBoot_ > signs.boot_)
+        signs = ReturnSigns{.boot_ = announced.agentBoot_};
+    const bool isFirst = signs.announcements_ == 0;
+    const bool isNewer = isFirst || announced.sequence_ > signs.sequence_;
+    if (announced.agentBoot_ != signs.boot_ || !isNewer)
+        return false;
+    signs.sequence_ = announced.sequence_;
+    signs.lastAt_ = now;
+    if (isFirst)
+        signs.firstAt_ = now;
+    ++signs.announcements_;
+    return signs.announcements_ >= returnAnnouncements && now - signs.firstAt_ >= returnPeriod;
+}
+
 // Renews the lease of a direct upstream. An announcement that changes nothing is answered at once;
 // any other one is appended to the log and answered after the commit.
 void onLocalAnnouncement(ControlState &state, Instant now, WallTime wall,
@@ -287,7 +314,16 @@
     NodeStatus &node = state.nodes_[upstream.name_];
     const bool isOlder = node.sequenceBoot_ > upstream.agentBoot_
         || (node.sequenceBoot_ == upstream.agentBoot_ && node.sequence_ > upstream.sequence_);
-    if (isOlder || isOutdated(state.fleet_, upstream)) {
+    const bool isOutdated = isOlder || isSuperseded(state.fleet_, upstream);
+    const bool departed = !isOutdated && hasDeparted(state.fleet_, upstream);
+    const bool returned = departed && hasReturned(state, now, upstream);
+    if (departed)
+        effects.push_back(
+            DecisionLine{"decision=membership upstream=" + upstream.name_
+                         + " boot=" + std::to_string(upstream.agentBoot_)
+                         + " sequence=" + std::to_string(upstream.sequence_)
+                         + " reason=departed returned=" + (returned ? "true" : "false")});
+    if (isOutdated || (departed && !returned)) {
         sendAnswer(state, waiter, Outcome{OutcomeKind::Accepted, 0, "outdated", std::nullopt},
                    effects);
         return;
@@ -305,7 +341,7 @@
         "decision=membership upstream=" + upstream.name_ + " boot="
         + std::to_string(upstream.agentBoot_) + " sequence=" + std::to_string(upstream.sequence_)
         + " phase=" + boost::describe::enum_to_string(upstream.phase_, "?") + " reason=announced"});
-    propose(state, now, wall, AnnounceUpstream{upstream}, waiter, effects);
+    propose(state, now, wall, AnnounceUpstream{upstream, returned}, waiter, effects);
 }
 
 std::uint32_t sumOtherShares(const ControlState &state, Instant now, const std::string &self)
@@ -426,6 +462,8 @@
     std::erase_if(state.nodes_, [&](const auto &item) {
         return now - item.second.lastHeard_ > lease && item.second.shareExpires_ <= now;
     });
+    std::erase_if(state.returnSigns_,
+                  [&](const auto &item) { return now - item.second.lastAt_ > lease; });
     for (const RemoveUpstream &removal : expired) {
         effects.push_back(DecisionLine{"decision=membership upstream=" + removal.name_
                                        + " phase=Gone reason=lease_expired"});
--- a/packages/decision/src/control/fleet_state.cpp
+++ b/packages/decision/src/control/fleet_state.cpp
@@ -236,8 +236,13 @@
 Outcome applyCommand(FleetState &state, const LogEntry &entry, const AnnounceUpstream &command)
 {
     if (command.upstream_.direct_) {
-        if (isOutdated(state, command.upstream_))
+        const bool departed = hasDeparted(state, command.upstream_);
+        if (isSuperseded(state, command.upstream_) || (departed && !command.returned_))
             return outcome(OutcomeKind::Conflict, entry.index_, "a newer announcement is known");
+        if (departed)
+            std::erase_if(state.departures_, [&](const Departure &departure) {
+                return departure.name_ == command.upstream_.name_;
+            });
         removePredecessors(state, entry.index_, command.upstream_);
     }
     Upstream *old = findUpstream(state, command.upstream_.name_);
@@ -419,12 +424,17 @@
         && left.cold_ == right.cold_;
 }
 
-bool isOutdated(const FleetState &state, const Upstream &announced)
+bool hasDeparted(const FleetState &state, const Upstream &announced)
+{
+    return std::any_of(state.departures_.begin(), state.departures_.end(),
+                       [&](const Departure &departure) {
+                           return departure.name_ == announced.name_
+                               && departure.agentBoot_ >= announced.agentBoot_;
+                       });
+}
+
+bool isSuperseded(const FleetState &state, const Upstream &announced)
 {
-    for (const Departure &departure : state.departures_) {
-        if (departure.name_ == announced.name_ && departure.agentBoot_ >= announced.agentBoot_)
-            return true;
-    }
     for (const Upstream &other : state.view_.upstreams_) {
         if (other.name_ == announced.name_) {
             if (other.agentBoot_ > announced.agentBoot_)
--- a/packages/decision/tests/unit-open_membership.cpp
+++ b/packages/decision/tests/unit-open_membership.cpp
@@ -274,4 +274,83 @@
     BOOST_TEST(fleet.view_.upstreams_.size() == 1u);
 }
 
+// What an upstream does at a time after its departure.
+struct AfterDeparture
+{
+    milliseconds time_;
+    std::uint64_t sequence_; ///< of its announcement; 0: the departure arrives again
+};
+
+struct ReturnRow
+{
+    const char *description_;
+    std::vector<AfterDeparture> events_;
+    bool listed_; ///< the upstream is listed at the end
+};
+
+std::ostream &operator<<(std::ostream &stream, const ReturnRow &row)
+{
+    return stream << row.description_;
+}
+
+const ReturnRow returnTable[] = {
+    {"goes on", {{milliseconds(600), 8}, {milliseconds(1800), 9}, {milliseconds(3000), 10}}, true},
+    {"one late announcement", {{milliseconds(600), 8}}, false},
+    {"late announcements at once",
+     {{milliseconds(600), 8}, {milliseconds(700), 9}, {milliseconds(800), 10}},
+     false},
+    {"two late announcements", {{milliseconds(600), 8}, {milliseconds(3000), 9}}, false},
+    {"late announcements in the opposite order",
+     {{milliseconds(600), 10}, {milliseconds(1800), 9}, {milliseconds(3000), 8}},
+     false},
+    {"the same announcement again",
+     {{milliseconds(600), 8}, {milliseconds(1800), 8}, {milliseconds(3000), 8}},
+     false},
+    {"departs again",
+     {{milliseconds(600), 8},
+      {milliseconds(1800), 9},
+      {milliseconds(2000), 0},
+      {milliseconds(3000), 10}},
+     false},
+};
+
+// Guards against an upstream that is never listed again since a departure of its previous start has
+// arrived late, and against late announcements after a departure that are taken for its return.
+BOOST_DATA_TEST_CASE(upstream_that_goes_on_after_a_departure_is_listed_again,
+                     data::make(returnTable), row)
+{
+    ControlGroup group(3, 9);
+    group.restartWithSeeds({"c1", "c2", "c3"});
+    group.run(seconds(4));
+    const std::string leader = group.leader();
+    std::uint64_t token = 900;
+    const auto announce = [&](std::uint64_t sequence) {
+        group.handle(leader, LocalAnnouncement{++token, directUpstream("a", 100, sequence)});
+    };
+    const auto depart = [&] {
+        group.handle(leader, LocalProposal{++token, RemoveUpstream{"a", 100, true}});
+    };
+    announce(7);
+    group.run(milliseconds(200));
+    const FleetState &fleet = group.member(leader).state_.fleet_;
+    BOOST_REQUIRE(fleet.view_.upstreams_.size() == 1u);
+    depart();
+    const Instant departedAt = group.now();
+    for (const AfterDeparture &event : row.events_) {
+        group.run(std::chrono::ceil<milliseconds>(departedAt + event.time_ - group.now()));
+        if (event.sequence_ == 0)
+            depart();
+        else
+            announce(event.sequence_);
+    }
+    group.run(milliseconds(200));
+    BOOST_TEST(fleet.view_.upstreams_.empty() == !row.listed_);
+    // The next departure counts again.
+    depart();
+    group.run(milliseconds(200));
+    announce(20);
+    group.run(milliseconds(200));
+    BOOST_TEST(fleet.view_.upstreams_.empty());
+}
+
 } // namespace
--- a/packages/wire/schema/fleet.capnp
+++ b/packages/wire/schema/fleet.capnp
@@ -364,6 +364,7 @@
 
 struct AnnounceUpstream {
   upstream @0 :Upstream;
+  returned @1 :Bool;
 }
 
 struct RemoveUpstream {
