--- a/packages/server/src/run_client.cpp
+++ b/packages/server/src/run_client.cpp
@@ -323,10 +323,10 @@
     end.status_ = head.result_int();
     if (!answer.notice_.isEmpty() && handlers_.onNoticed_)
         handlers_.onNoticed_(UpstreamNoticed{run->command_.upstream_, answer.notice_});
-    // The final answer would follow. The requests sent ask for no interim one.
+    // An interim answer, which the request doesn't ask for, or no valid status at all.
     if (end.status_ < statusOk) {
         end.end_ = RunEnd::Failed;
-        end.detail_ = "interim status " + std::to_string(end.status_);
+        end.detail_ = "no final status: " + std::to_string(end.status_);
         co_return false;
     }
     // Without an id, only the first answer on a connection is known to belong to the request: an
--- a/packages/server/tests/unit-answer_cuts.cpp
+++ b/packages/server/tests/unit-answer_cuts.cpp
@@ -408,9 +408,12 @@
     BOOST_TEST(received->body() == *expected);
 }
 
-void checkCuts(const AnswerRow &row, Ending ending, bool kept)
+void checkCuts(const AnswerRow &row, Ending ending, bool kept,
+               std::optional<std::size_t> bodyBytes = std::nullopt)
 {
     Fixture fixture(ending, row.method_);
+    if (bodyBytes)
+        fixture.body_.assign(*bodyBytes, 'b');
     fixture.upstream_.answer_ = [&](const std::string &id) { return answerTo(row, id); };
     std::vector<Cut> &cuts = fixture.upstream_.cuts_;
     const std::size_t total = answerTo(row, "0000").size(); // all ids have four digits
@@ -472,6 +475,16 @@
     checkCuts(row, ending, kept);
 }
 
+// Guards against a reset that is taken for the end of an answer without a length: the system may
+// have taken the request whole, while the upstream has read hardly any of it.
+BOOST_DATA_TEST_CASE(answer_reset_before_its_request_is_read_is_not_delivered_as_a_whole_one,
+                     data::make({answerTable[3], answerTable[4], answerTable[10]})
+                         * data::make({8u << 10, 64u << 10, 256u << 10, 1u << 20}),
+                     row, bodyBytes)
+{
+    checkCuts(row, Ending::ResetUnread, false, bodyBytes);
+}
+
 // The caller may send a request again elsewhere only if it was not executed.
 BOOST_DATA_TEST_CASE(refusal_with_a_cut_head_counts_as_a_possible_execution,
                      data::make(endingTable), ending)
@@ -533,6 +546,51 @@
     }
 }
 
+struct InvalidStatusRow
+{
+    const char *description_;
+    std::string statusLine_;
+};
+
+std::ostream &operator<<(std::ostream &stream, const InvalidStatusRow &row)
+{
+    return stream << row.description_;
+}
+
+const InvalidStatusRow invalidStatusTable[] = {
+    {"000", "HTTP/1.1 000 OK\r\n"},
+    {"000 without a reason", "HTTP/1.1 000 \r\n"},
+    {"099", "HTTP/1.1 099 OK\r\n"},
+    {"three letters", "HTTP/1.1 2OO OK\r\n"},
+    {"two digits", "HTTP/1.1 20 OK\r\n"},
+    {"four digits", "HTTP/1.1 2000 OK\r\n"},
+    {"none", "HTTP/1.1\r\n"},
+};
+const std::string invalidStatusBodies[] = {
+    "Content-Length: 4\r\n\r\nbody",
+    "Transfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n",
+    "Content-Type: text/event-stream\r\nContent-Length: 16\r\n\r\nid: 1\ndata: a\n\n\n",
+    "\r\nbody",
+};
+
+// Guards against an answer without a valid status being passed on to the caller.
+BOOST_DATA_TEST_CASE(answer_with_an_invalid_status_is_not_delivered,
+                     data::make(invalidStatusTable) * data::make(invalidStatusBodies)
+                         * data::make({false, true}),
+                     row, body, streaming)
+{
+    const std::string answer = row.statusLine_ + idHeader + ": 0\r\n" + body;
+    Fixture fixture(Ending::Close, http::verb::post);
+    fixture.upstream_.answer_ = [&](const std::string &) { return answer; };
+    fixture.upstream_.cuts_.push_back({answer.size(), 0});
+    fixture.start("0", false, streaming);
+    BOOST_REQUIRE(fixture.finish());
+    const CutRun &run = *fixture.runs_[0];
+    BOOST_REQUIRE(run.ends_.size() == 1u);
+    BOOST_TEST(isPossibleExecution(run.ends_[0]), "end " << static_cast<int>(run.ends_[0].end_));
+    BOOST_TEST(run.received_.empty(), run.received_);
+}
+
 StageCallEnded callStage(asio::io_context &context, HttpClient &client, std::uint16_t port,
                          const std::string &id)
 {
