Large configurations reach nodes in blocks, each fetched once

Cause: each control process sent the whole view to each node that asked, and sent it again every 500 ms; each change sent everything again.

A configuration above 128 KiB is split into blocks that are named by their content. Updates name the blocks; a node fetches those that it lacks from one control process at a time, four at a time, keeps them over lost connections and newer versions, and goes on with its present configuration meanwhile. A node without a view asks one process at a time for it.

--- a/packages/core/include/chervilspring/messages.hpp
+++ b/packages/core/include/chervilspring/messages.hpp
@@ -405,8 +405,12 @@
     bool isEntry_ = false; ///< the sender is an entry
     std::uint32_t share_ = 0; ///< an entry's share of fleet-wide limits, in millionths
     Load load_; ///< set by agents only
+    std::uint64_t fleetVersion_ = 0; ///< version of the fleet configuration in that view
+    bool awaitsView_ = false; ///< the view is on its way from another process: the reply needs none
 };
-BOOST_DESCRIBE_STRUCT(Heartbeat, (), (node_, viewVersion_, upstream_, isEntry_, share_, load_))
+BOOST_DESCRIBE_STRUCT(Heartbeat, (),
+                      (node_, viewVersion_, upstream_, isEntry_, share_, load_, fleetVersion_,
+                       awaitsView_))
 
 /// @brief Share that stands for a complete fleet-wide limit, in millionths.
 inline constexpr std::uint32_t wholeShare = 1'000'000;
@@ -417,17 +421,35 @@
     std::uint64_t fromVersion_ = 0; ///< version that the changes apply to; 0: whole view
     std::uint64_t toVersion_ = 0; ///< version of the view after the update
     std::uint64_t fleetVersion_ = 0; ///< log index of the fleet configuration
-    std::optional<Fleet> fleet_; ///< fleet configuration, if it changed
+    std::optional<Fleet> fleet_; ///< fleet configuration, if it changed and isn't large
     std::vector<Upstream> upstreams_; ///< new and changed upstreams
     std::vector<std::string> removed_; ///< names of removed upstreams
     std::vector<Suspect> suspects_; ///< all suspects, replacing the previous ones
     std::vector<Quarantine> quarantines_; ///< all quarantines, replacing the previous ones
     std::vector<std::string>
         evacuated_; ///< all evacuated data centres, replacing the previous ones
+    /// Digests of the blocks of a large fleet configuration, if it changed; see splitFleet().
+    std::vector<std::uint64_t> fleetBlocks_;
 };
 BOOST_DESCRIBE_STRUCT(ViewUpdate, (),
                       (fromVersion_, toVersion_, fleetVersion_, fleet_, upstreams_, removed_,
-                       suspects_, quarantines_, evacuated_))
+                       suspects_, quarantines_, evacuated_, fleetBlocks_))
+
+/// @brief Asks a control process for blocks of a large fleet configuration.
+struct RequestFleetBlocks
+{
+    std::vector<std::uint64_t> digests_; ///< from ViewUpdate::fleetBlocks_
+};
+BOOST_DESCRIBE_STRUCT(RequestFleetBlocks, (), (digests_))
+
+/// @brief Answers RequestFleetBlocks, once for each block.
+struct FleetBlockReply
+{
+    std::uint64_t digest_ = 0; ///< digest that was asked for
+    bool known_ = false; ///< false: the configuration of the sender has no such block
+    Fleet part_; ///< the block, if known_
+};
+BOOST_DESCRIBE_STRUCT(FleetBlockReply, (), (digest_, known_, part_))
 
 /// @brief Answer to Heartbeat.
 struct HeartbeatReply
@@ -683,11 +705,11 @@
                       (id_, upstream_, agentBoot_, parts_, ago_, runTime_, started_))
 
 /// @brief Message of a frame. New alternatives have to be added at the end.
-using Message =
-    std::variant<Dispatch, Inquire, Cancel, AttemptResult, StreamChunk, AttemptState, Ping, Propose,
-                 ProposeReply, Heartbeat, HeartbeatReply, VoteRequest, VoteReply, AppendRequest,
-                 AppendReply, InstallSnapshot, TimeoutNow, Join, PlanRequest, PlanGrant,
-                 PlanRefusal, PlanStarted, PlanEnd, PlanProgress, RunCrashed>;
+using Message = std::variant<Dispatch, Inquire, Cancel, AttemptResult, StreamChunk, AttemptState,
+                             Ping, Propose, ProposeReply, Heartbeat, HeartbeatReply, VoteRequest,
+                             VoteReply, AppendRequest, AppendReply, InstallSnapshot, TimeoutNow,
+                             Join, PlanRequest, PlanGrant, PlanRefusal, PlanStarted, PlanEnd,
+                             PlanProgress, RunCrashed, RequestFleetBlocks, FleetBlockReply>;
 
 /// @brief Combines lambdas into one visitor for std::visit.
 template<typename... Ts> struct Overloaded : Ts...
--- a/packages/decision/include/chervilspring/detail/control/control.hpp
+++ b/packages/decision/include/chervilspring/detail/control/control.hpp
@@ -5,6 +5,7 @@
 #include "chervilspring/detail/control/consensus.hpp"
 #include "chervilspring/detail/control/fleet_state.hpp"
 #include "chervilspring/events.hpp"
+#include "chervilspring/fleet_blocks.hpp"
 
 namespace chervilspring {
 
@@ -110,6 +111,14 @@
     Instant lastAt_{}; ///< when the last one arrived
 };
 
+/// @brief The blocks of a large fleet configuration, which nodes fetch one by one.
+struct FleetBlocks
+{
+    std::uint64_t fleetVersion_ = 0; ///< View::fleetVersion_ of the configuration
+    std::vector<std::uint64_t> digests_; ///< in order; empty if the configuration isn't large
+    std::map<std::uint64_t, Fleet> parts_; ///< by digest
+};
+
 /// @brief Configuration of a control process.
 struct ControlSettings
 {
@@ -123,6 +132,7 @@
     ControlSettings settings_;
     ConsensusState consensus_;
     FleetState fleet_; ///< the replicated state machine
+    FleetBlocks fleetBlocks_; ///< those of the configuration that was sent last
     std::map<std::uint64_t, Waiter> waiters_; ///< by log index
     std::map<std::string, NodeStatus> nodes_; ///< by node name
     std::map<std::string, ReturnSigns> returnSigns_; ///< by name of the upstream
--- a/packages/decision/include/chervilspring/detail/control/fleet_state.hpp
+++ b/packages/decision/include/chervilspring/detail/control/fleet_state.hpp
@@ -73,12 +73,16 @@
 /// @brief Creates the update that brings a node's view to the current version.
 /// @param state the state
 /// @param version version of the node's view; 0: it has none
+/// @param fleetBlocks digests that replace a large fleet configuration; empty: it is sent itself
 /// @return the changes since that version, or the whole view if they are no longer kept or the
 /// version is higher than the current one
-ViewUpdate makeUpdate(const FleetState &state, std::uint64_t version);
+ViewUpdate makeUpdate(const FleetState &state, std::uint64_t version,
+                      const std::vector<std::uint64_t> &fleetBlocks = {});
 
 /// @brief Creates an update that holds the whole view.
-ViewUpdate makeFullUpdate(const View &view);
+/// @param view the view
+/// @param fleetBlocks as for makeUpdate()
+ViewUpdate makeFullUpdate(const View &view, const std::vector<std::uint64_t> &fleetBlocks = {});
 
 /// @brief Reads the time of issue from an idempotency key "<unix seconds>-<unique part>".
 /// @param key the key
--- a/packages/decision/include/chervilspring/detail/node/node.hpp
+++ b/packages/decision/include/chervilspring/detail/node/node.hpp
@@ -66,6 +66,17 @@
     std::string sentTo_; ///< name of the control process that the proposal was last sent to
 };
 
+/// @brief The blocks of a large fleet configuration that are being fetched.
+struct FleetTransfer
+{
+    std::uint64_t fleetVersion_ = 0; ///< version of the configuration; 0: nothing is fetched
+    std::vector<std::uint64_t> digests_; ///< of its blocks, in order
+    std::map<std::uint64_t, Fleet> parts_; ///< blocks that are present, by digest
+    std::set<std::uint64_t> requested_; ///< digests of the blocks that source_ was asked for
+    std::string source_; ///< control process that is asked
+    Instant progressAt_{}; ///< when source_ was first asked, or last sent a block
+};
+
 /// @brief The state of a node.
 struct NodeState
 {
@@ -83,6 +94,10 @@
     Instant heartbeatAt_{}; ///< time of the next heartbeat
     std::map<std::string, Instant>
         heartbeatSent_; ///< time of the oldest unanswered heartbeat by peer
+    std::string
+        viewAwaitedFrom_; ///< control process that was asked for the whole view; may be empty
+    Instant viewAwaitedSince_{}; ///< when it was asked
+    FleetTransfer transfer_;
     std::map<std::uint64_t, PendingProposal> proposals_; ///< by sequence number
     std::uint64_t nextSequence_ = 1;
     std::mt19937_64 random_;
--- a/packages/decision/src/control/control.cpp
+++ b/packages/decision/src/control/control.cpp
@@ -1,5 +1,7 @@
 #include "chervilspring/detail/control/control.hpp"
 
+#include "chervilspring/memory_size.hpp"
+
 #include <algorithm>
 
 namespace chervilspring {
@@ -23,6 +25,9 @@
 // time: after a network cut, TCP retransmits what was sent last first.
 constexpr int returnAnnouncements = 3;
 constexpr nanoseconds returnPeriod = seconds(2);
+// A larger fleet configuration, by its size in memory, is fetched by the nodes block by block.
+constexpr std::size_t maxInlineFleetBytes = 128u << 10;
+constexpr std::size_t maxBlocksPerRequest = 16;
 // An update that a heartbeat doesn't confirm after this time counts as lost.
 constexpr nanoseconds updateTimeout = milliseconds(500);
 
@@ -84,6 +89,42 @@
     }
 }
 
+// Returns the blocks of the current fleet configuration.
+const FleetBlocks &currentFleetBlocks(ControlState &state)
+{
+    const View &view = state.fleet_.view_;
+    FleetBlocks &blocks = state.fleetBlocks_;
+    if (blocks.fleetVersion_ == view.fleetVersion_)
+        return blocks;
+    blocks = FleetBlocks{view.fleetVersion_, {}, {}};
+    if (memorySize(view.fleet_) <= maxInlineFleetBytes)
+        return blocks;
+    for (FleetBlock &block : splitFleet(view.fleet_)) {
+        blocks.digests_.push_back(block.digest_);
+        blocks.parts_.emplace(block.digest_, std::move(block.part_));
+    }
+    return blocks;
+}
+
+ViewUpdate makeNodeUpdate(ControlState &state, std::uint64_t version)
+{
+    const std::vector<std::uint64_t> &blocks = currentFleetBlocks(state).digests_;
+    return makeUpdate(state.fleet_, version, blocks);
+}
+
+void onBlockRequest(ControlState &state, const std::string &peer, const RequestFleetBlocks &request,
+                    ControlEffects &effects)
+{
+    const FleetBlocks &blocks = currentFleetBlocks(state);
+    const std::size_t count = std::min(request.digests_.size(), maxBlocksPerRequest);
+    for (std::size_t i = 0; i < count; ++i) {
+        const auto found = blocks.parts_.find(request.digests_[i]);
+        const bool known = found != blocks.parts_.end();
+        effects.push_back(SendToPeer{
+            peer, FleetBlockReply{request.digests_[i], known, known ? found->second : Fleet{}}});
+    }
+}
+
 // Sends the nodes what has changed in the view, the same update to all that have the same version.
 void pushViewIfDue(ControlState &state, Instant now, ControlEffects &effects)
 {
@@ -105,7 +146,7 @@
         HeartbeatReply reply;
         reply.leader_ = leaderName(state);
         reply.members_ = memberNames(state);
-        reply.update_ = makeUpdate(state.fleet_, version);
+        reply.update_ = makeNodeUpdate(state, version);
         effects.push_back(SendToPeers{std::move(names), std::move(reply)});
     }
 }
@@ -392,7 +433,7 @@
     NodeStatus &node = state.nodes_[peer];
     node.lastHeard_ = now;
     confirmVersion(node, heartbeat.viewVersion_, now);
-    node.holdsView_ = true;
+    node.holdsView_ = heartbeat.viewVersion_ != 0 || !heartbeat.awaitsView_;
     node.isAgent_ = heartbeat.upstream_.has_value();
     node.isEntry_ = heartbeat.isEntry_;
     node.load_ = heartbeat.load_;
@@ -406,9 +447,19 @@
     }
     if (leading && heartbeat.isEntry_)
         grantShare(state, now, node, heartbeat, reply);
-    if (node.sentVersion_ < state.fleet_.view_.version_) {
-        reply.update_ = makeUpdate(state.fleet_, node.sentVersion_);
-        recordUpdateSent(node, state.fleet_.view_.version_, now);
+    const View &view = state.fleet_.view_;
+    if (!heartbeat.awaitsView_ && node.sentVersion_ < view.version_) {
+        reply.update_ = makeNodeUpdate(state, node.sentVersion_);
+        recordUpdateSent(node, view.version_, now);
+    }
+    // The node has applied an update that named the blocks of a large configuration, but lacks
+    // some.
+    const bool lacksFleet = heartbeat.viewVersion_ >= view.fleetVersion_
+        && heartbeat.fleetVersion_ < view.fleetVersion_;
+    if (lacksFleet && !currentFleetBlocks(state).digests_.empty()) {
+        if (!reply.update_)
+            reply.update_ = makeNodeUpdate(state, view.version_);
+        reply.update_->fleetBlocks_ = currentFleetBlocks(state).digests_;
     }
     effects.push_back(SendToPeer{peer, reply});
 }
@@ -521,6 +572,10 @@
                 effects);
         return;
     }
+    if (const auto *request = std::get_if<RequestFleetBlocks>(&event.message_)) {
+        onBlockRequest(state, event.peer_, *request, effects);
+        return;
+    }
     ConsensusOutput output;
     step(state.consensus_, now, event.peer_, event.message_, output);
     processOutput(state, now, wall, std::move(output), effects);
--- a/packages/decision/src/control/fleet_state.cpp
+++ b/packages/decision/src/control/fleet_state.cpp
@@ -500,12 +500,24 @@
     return state;
 }
 
-ViewUpdate makeFullUpdate(const View &view)
+namespace {
+
+void addFleet(ViewUpdate &update, const View &view, const std::vector<std::uint64_t> &fleetBlocks)
+{
+    if (fleetBlocks.empty())
+        update.fleet_ = view.fleet_;
+    else
+        update.fleetBlocks_ = fleetBlocks;
+}
+
+} // namespace
+
+ViewUpdate makeFullUpdate(const View &view, const std::vector<std::uint64_t> &fleetBlocks)
 {
     ViewUpdate update;
     update.toVersion_ = view.version_;
     update.fleetVersion_ = view.fleetVersion_;
-    update.fleet_ = view.fleet_;
+    addFleet(update, view, fleetBlocks);
     update.upstreams_ = view.upstreams_;
     update.suspects_ = view.suspects_;
     update.quarantines_ = view.quarantines_;
@@ -513,13 +525,14 @@
     return update;
 }
 
-ViewUpdate makeUpdate(const FleetState &state, std::uint64_t version)
+ViewUpdate makeUpdate(const FleetState &state, std::uint64_t version,
+                      const std::vector<std::uint64_t> &fleetBlocks)
 {
     const View &view = state.view_;
     const bool canUpdate = version != 0 && version <= view.version_ && !state.viewChanges_.empty()
         && state.viewChanges_.front().version_ <= version;
     if (!canUpdate)
-        return makeFullUpdate(view);
+        return makeFullUpdate(view, fleetBlocks);
     ViewUpdate update;
     update.fromVersion_ = version;
     update.toVersion_ = view.version_;
@@ -528,14 +541,16 @@
     update.quarantines_ = view.quarantines_;
     update.evacuated_ = view.evacuated_;
     std::set<std::string> names;
+    bool fleetChanged = false;
     for (const ViewChange &change : state.viewChanges_) {
         if (change.version_ <= version)
             continue;
-        if (change.fleetChanged_)
-            update.fleet_ = view.fleet_;
+        fleetChanged = fleetChanged || change.fleetChanged_;
         if (!change.upstream_.empty())
             names.insert(change.upstream_);
     }
+    if (fleetChanged)
+        addFleet(update, view, fleetBlocks);
     for (const std::string &name : names) {
         const Upstream *upstream = findByName(view.upstreams_, name);
         if (upstream)
--- a/packages/decision/src/direct/direct_planning.cpp
+++ b/packages/decision/src/direct/direct_planning.cpp
@@ -264,7 +264,9 @@
         repeatCrashReports(state, now, effects);
     }
     state.controlNames_ = event.controlNames_;
-    if (event.view_->version_ == state.table_->view_->version_)
+    const View &current = *state.table_->view_;
+    if (event.view_->version_ == current.version_
+        && event.view_->fleetVersion_ == current.fleetVersion_)
         return;
     forgetLiftedCrashes(state, *event.view_);
     state.table_ = makeRouteTable(event.view_);
--- a/packages/decision/src/node/node.cpp
+++ b/packages/decision/src/node/node.cpp
@@ -1,6 +1,7 @@
 #include "chervilspring/detail/node/node.hpp"
 
 #include "chervilspring/detail/control/fleet_state.hpp"
+#include "chervilspring/detail/node/fleet_transfer.hpp"
 
 #include <algorithm>
 
@@ -18,6 +19,9 @@
 constexpr nanoseconds lostLeaderGrace = seconds(1);
 // A leader that leaves a heartbeat unanswered for longer is no longer presumed to lead.
 constexpr nanoseconds heartbeatTimeout = milliseconds(1500);
+// A control process that was asked for the whole view and doesn't answer in this time is no longer
+// waited for.
+constexpr nanoseconds viewTimeout = seconds(1);
 constexpr nanoseconds proposalResendInterval = milliseconds(250);
 // Known names that are kept when a reply names the current members. Former members are asked when
 // the current ones do not answer.
@@ -54,11 +58,25 @@
         state.leader_ = leader;
 }
 
+// Whether a peer that is asked now needs not send the whole view, as it was asked of another one.
+// Records otherwise that this peer is asked for it.
+bool awaitsView(NodeState &state, Instant now, const std::string &peer)
+{
+    if (state.view_->version_ != 0)
+        return false;
+    if (!state.viewAwaitedFrom_.empty() && now - state.viewAwaitedSince_ <= viewTimeout)
+        return true;
+    state.viewAwaitedFrom_ = peer;
+    state.viewAwaitedSince_ = now;
+    return false;
+}
+
 Heartbeat makeHeartbeat(const NodeState &state, Instant now)
 {
     Heartbeat heartbeat;
     heartbeat.node_ = state.settings_.name_;
     heartbeat.viewVersion_ = state.view_->version_;
+    heartbeat.fleetVersion_ = state.view_->fleetVersion_;
     heartbeat.upstream_ = state.upstream_;
     heartbeat.load_ = state.load_;
     heartbeat.isEntry_ = state.settings_.isEntry_;
@@ -69,7 +87,9 @@
 void sendHeartbeat(NodeState &state, Instant now, const std::string &peer, NodeEffects &effects)
 {
     state.heartbeatSent_.try_emplace(peer, now);
-    effects.push_back(SendToPeer{peer, makeHeartbeat(state, now)});
+    Heartbeat heartbeat = makeHeartbeat(state, now);
+    heartbeat.awaitsView_ = awaitsView(state, now, peer);
+    effects.push_back(SendToPeer{peer, std::move(heartbeat)});
 }
 
 // Emits the view, its age and the share for the other reducers of the process.
@@ -101,6 +121,20 @@
     }
 }
 
+void onUpdate(NodeState &state, Instant now, const std::string &peer, const ViewUpdate &update,
+              NodeEffects &effects)
+{
+    if (const ViewPointer newer = updateView(*state.view_, update)) {
+        effects.push_back(DecisionLine{"decision=view node=" + state.settings_.name_
+                                       + " version=" + std::to_string(newer->version_) + " was="
+                                       + std::to_string(state.view_->version_) + " fleet_version="
+                                       + std::to_string(newer->fleetVersion_) + " from=" + peer});
+        reportUnusable(*state.view_, *newer, effects);
+        state.view_ = newer;
+    }
+    startTransfer(state, now, peer, update, effects);
+}
+
 void onReply(NodeState &state, Instant now, const std::string &peer, const HeartbeatReply &reply,
              NodeEffects &effects)
 {
@@ -117,16 +151,10 @@
         state.heartbeatAt_ = now;
     }
     setLeader(state, now, peer, reply.leader_);
-    if (reply.update_) {
-        if (const ViewPointer newer = updateView(*state.view_, *reply.update_)) {
-            effects.push_back(DecisionLine{"decision=view node=" + state.settings_.name_
-                                           + " version=" + std::to_string(newer->version_)
-                                           + " was=" + std::to_string(state.view_->version_)
-                                           + " from=" + peer});
-            reportUnusable(*state.view_, *newer, effects);
-            state.view_ = newer;
-        }
-    }
+    if (peer == state.viewAwaitedFrom_)
+        state.viewAwaitedFrom_.clear();
+    if (reply.update_)
+        onUpdate(state, now, peer, *reply.update_, effects);
     const auto sent = state.heartbeatSent_.find(peer);
     if (sent != state.heartbeatSent_.end() && reply.fresh_) {
         state.asOf_ = std::max(state.asOf_, sent->second - reply.age_);
@@ -189,9 +217,11 @@
     sendProposal(state, now, sequence, effects);
 }
 
-void onPeerLost(NodeState &state, Instant now, const std::string &peer)
+void onPeerLost(NodeState &state, Instant now, const std::string &peer, NodeEffects &effects)
 {
     state.heartbeatSent_.erase(peer);
+    if (peer == state.viewAwaitedFrom_)
+        state.viewAwaitedFrom_.clear();
     if (state.leader_ == peer) {
         state.leader_.clear();
         state.lostLeader_ = peer;
@@ -202,6 +232,7 @@
         if (proposal.sentTo_ == peer)
             proposal.resendAt_ = Instant{};
     }
+    onSourceLost(state, now, peer, effects);
 }
 
 void resendProposals(NodeState &state, Instant now, NodeEffects &effects)
@@ -229,6 +260,7 @@
 void onWake(NodeState &state, Instant now, NodeEffects &effects)
 {
     resendProposals(state, now, effects);
+    continueTransfer(state, now, effects);
     if (now < state.heartbeatAt_)
         return;
     const bool starting =
@@ -251,6 +283,10 @@
         onProposeReply(state, now, event.peer_, *answered, effects);
     else if (const auto *heartbeat = std::get_if<Heartbeat>(&event.message_))
         onPeerHeartbeat(state, now, event.peer_, *heartbeat, effects);
+    else if (const auto *block = std::get_if<FleetBlockReply>(&event.message_)) {
+        if (onFleetBlock(state, now, event.peer_, *block, effects))
+            publish(state, effects);
+    }
 }
 
 } // namespace
@@ -270,7 +306,7 @@
     Instant wake = state.heartbeatAt_;
     for (const auto &[sequence, proposal] : state.proposals_)
         wake = std::min({wake, proposal.resendAt_, proposal.expiresAt_});
-    return wake;
+    return std::min(wake, nextTransferWake(state));
 }
 
 ViewPointer updateView(const View &view, const ViewUpdate &update)
@@ -278,15 +314,20 @@
     if (update.toVersion_ <= view.version_ || update.fromVersion_ > view.version_)
         return nullptr;
     auto newer = std::make_shared<View>();
-    if (update.fromVersion_ != 0)
+    if (update.fromVersion_ != 0) {
         *newer = view;
+    } else if (!update.fleet_) {
+        newer->fleet_ = view.fleet_;
+        newer->fleetVersion_ = view.fleetVersion_;
+    }
     newer->version_ = update.toVersion_;
-    newer->fleetVersion_ = update.fleetVersion_;
     newer->suspects_ = update.suspects_;
     newer->quarantines_ = update.quarantines_;
     newer->evacuated_ = update.evacuated_;
-    if (update.fleet_)
+    if (update.fleet_) {
         newer->fleet_ = *update.fleet_;
+        newer->fleetVersion_ = update.fleetVersion_;
+    }
     auto &list = newer->upstreams_;
     const auto byName = [](const Upstream &a, const Upstream &b) { return a.name_ < b.name_; };
     for (const std::string &name : update.removed_)
@@ -305,7 +346,7 @@
 {
     std::visit(Overloaded{
                    [&](const PeerMessage &e) { onPeerMessage(state, now, e, effects); },
-                   [&](const PeerLost &e) { onPeerLost(state, now, e.peer_); },
+                   [&](const PeerLost &e) { onPeerLost(state, now, e.peer_, effects); },
                    [&](const SubmitProposal &e) { onSubmit(state, now, e, effects); },
                    [&](const AnnouncementChanged &e) {
                        state.upstream_ = e.upstream_;
--- a/packages/wire/schema/fleet.capnp
+++ b/packages/wire/schema/fleet.capnp
@@ -434,6 +434,8 @@
   isEntry @3 :Bool;
   share @4 :UInt32;
   load @5 :Load;
+  fleetVersion @6 :UInt64;
+  awaitsView @7 :Bool;
 }
 
 struct ViewUpdate {
@@ -446,6 +448,17 @@
   suspects @6 :List(Suspect);
   quarantines @7 :List(Quarantine);
   evacuated @8 :List(Text);
+  fleetBlocks @9 :List(UInt64);
+}
+
+struct RequestFleetBlocks {
+  digests @0 :List(UInt64);
+}
+
+struct FleetBlockReply {
+  digest @0 :UInt64;
+  known @1 :Bool;
+  part @2 :Fleet;
 }
 
 struct HeartbeatReply {
@@ -677,5 +690,7 @@
     planEnd @22 :PlanEnd;
     planProgress @23 :PlanProgress;
     runCrashed @24 :RunCrashed;
+    requestFleetBlocks @25 :RequestFleetBlocks;
+    fleetBlockReply @26 :FleetBlockReply;
   }
 }
