Founding members start from the same state and wait for nobody

Cause: only the first of the seeds could found the cluster, and only with first_start set; it stored nothing before all seeds had answered, and its settings differ after a restart. Evidence: no process logged bootstrap= in such a run; the same when any seed never starts.

At the first start each process among the seeds writes the same first state on its empty folder: the seeds as voters, with ids that follow from their names. The elections of the log do the rest. A process that starts on an empty folder later has a random id, so it never votes in the place of a founding member. docs/design/control.md has the argument for one cluster at most. With seeds, first_start is false unless it is set.

--- a/packages/core/include/chervilspring/settings.hpp
+++ b/packages/core/include/chervilspring/settings.hpp
@@ -104,7 +104,7 @@
     std::uint16_t metricsPort_ = 0; ///< port for metrics; 0: they are served on httpPort_ only
     std::uint16_t controlPort_ = 0; ///< port of every control process, if openMembership_ is set
     bool openMembership_ = false; ///< control_ holds only seeds; other control processes may join
-    bool firstStart_ = true; ///< a process with a blank disk may bootstrap a cluster
+    bool firstStart_ = true; ///< a process with an empty data folder may found a cluster
     milliseconds grace_{0}; ///< time between the stop signal and the kill
     double retryRatio_ = 0; ///< retries allowed for each request, fleet-wide
     std::uint32_t retrySlack_ = 0; ///< additional retries allowed in each window, fleet-wide
--- a/packages/core/src/settings.cpp
+++ b/packages/core/src/settings.cpp
@@ -46,8 +46,9 @@
      "port"},
     {"node", "metrics_port", SettingKind::Number, "", 0, maxPort, "0", "",
      "port on which metrics are served; 0: only on http_port"},
-    {"node", "first_start", SettingKind::Flag, "", 0, 0, "true", "",
-     "whether a process with a blank disk may bootstrap a cluster"},
+    {"node", "first_start", SettingKind::Flag, "", 0, 0, "", "",
+     "whether a control process with an empty data folder may found a cluster; with seeds: true at "
+     "the first start of the whole system only; default: true without seeds, else false"},
     {"node", "grace", SettingKind::Number, "ms", 1000, 600000, "8000", "",
      "time between the stop signal and the kill"},
     {"retries", "ratio", SettingKind::Fraction, "", 0, 1, "0.2", "",
@@ -323,7 +324,9 @@
     applyEndpoints(settings, node);
     settings.routes_ = node.at("protocol") == "routes";
     settings.metricsPort_ = numberOf<std::uint16_t>(node, "metrics_port");
-    settings.firstStart_ = node.at("first_start") == "true";
+    const std::string &firstStart = node.at("first_start");
+    settings.firstStart_ =
+        firstStart == "true" || (firstStart.empty() && !settings.openMembership_);
     settings.grace_ = durationOf(node, "grace");
     parseFraction(retries.at("ratio"), settings.retryRatio_);
     double slack = 0;
--- a/packages/decision/include/chervilspring/persistence.hpp
+++ b/packages/decision/include/chervilspring/persistence.hpp
@@ -29,10 +29,18 @@
 };
 BOOST_DESCRIBE_STRUCT(PersistBatch, (), (sequence_, hardState_, truncateFrom_, entries_, snapshot_))
 
+/// @brief First state of the data folder of a founding member; see makeFounding().
+struct FoundingState
+{
+    std::uint64_t memberId_ = 0; ///< id of the data folder and of its member
+    Snapshot snapshot_; ///< the founding members, all of them voters
+};
+
 /// @brief Persistent state as loaded at start.
 struct LoadedState
 {
-    std::uint64_t memberId_ = 0; ///< random id of the data folder and of its member
+    /// Id of the data folder and of its member: random, unless it is a founding member.
+    std::uint64_t memberId_ = 0;
     HardState hardState_;
     std::optional<Snapshot> snapshot_;
     std::vector<LogEntry> entries_; ///< entries after the snapshot
--- a/packages/decision/src/control/membership.cpp
+++ b/packages/decision/src/control/membership.cpp
@@ -1,6 +1,7 @@
 #include "chervilspring/detail/control/membership.hpp"
 
 #include "chervilspring/detail/control/consensus_steps.hpp"
+#include "chervilspring/digest.hpp"
 
 #include <algorithm>
 
@@ -187,13 +188,34 @@
     return addLearner(state, now);
 }
 
+std::optional<FoundingState> makeFounding(const std::string &self,
+                                          const std::vector<std::string> &names)
+{
+    if (std::find(names.begin(), names.end(), self) == names.end())
+        return std::nullopt;
+    const std::set<std::string> sorted(names.begin(), names.end());
+    FoundingState founding;
+    std::string all;
+    for (const std::string &name : sorted) {
+        const std::uint64_t id = contentDigest("founding member " + name);
+        founding.snapshot_.members_.push_back(Member{id, name, true});
+        if (name == self)
+            founding.memberId_ = id;
+        all += name + "\n";
+    }
+    founding.snapshot_.cluster_ = contentDigest("founding members " + all);
+    founding.snapshot_.lastIndex_ = 1;
+    return founding;
+}
+
 std::optional<Snapshot> planBootstrap(const ConsensusState &state)
 {
     const auto &names = state.settings_.controlNames_;
     const bool isFirst = !names.empty() && names.front() == state.settings_.self_.name_;
     const bool isBlank = state.hardState_.cluster_ == 0 && state.memberLists_.empty()
         && lastIndex(state) == 0 && state.hardState_.term_ == 0;
-    if (!isFirst || !isBlank || !state.settings_.mayBootstrap_)
+    const bool mayBootstrap = state.settings_.mayBootstrap_ && !state.settings_.openMembership_;
+    if (!isFirst || !isBlank || !mayBootstrap)
         return std::nullopt;
     Snapshot snapshot;
     snapshot.cluster_ = state.settings_.newCluster_;
--- a/packages/decision/tests/control_group.hpp
+++ b/packages/decision/tests/control_group.hpp
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "chervilspring/detail/control/control.hpp"
+#include "chervilspring/detail/control/membership.hpp"
 
 #include <boost/test/unit_test.hpp>
 
@@ -88,7 +89,6 @@
         settings.consensus_.self_ = Member{member.disk_.synced_.memberId_, name, false};
         settings.consensus_.controlNames_ = seeds_.empty() ? names_ : seeds_.at(name);
         settings.consensus_.openMembership_ = !seeds_.empty();
-        settings.consensus_.mayBootstrap_ = !bootstrapped_;
         settings.consensus_.snapshotEntries_ = snapshotEntries_;
         settings.consensus_.snapshotBytes_ = snapshotBytes_;
         settings.consensus_.replaceAfter_ = milliseconds(seeds_.empty() ? 8000 : 1500);
@@ -100,15 +100,21 @@
     }
 
     /// @brief Restarts all processes with open membership. Call it first, while disks are blank.
+    /// The seeds are founding members.
     /// @param seeds names of the control processes listed in the settings of every process
     void restartWithSeeds(const std::vector<std::string> &seeds)
     {
         messages_.clear();
-        for (const std::string &name : names_)
+        for (const std::string &name : names_) {
             seeds_[name] = seeds;
-        for (const std::string &name : names_)
+            if (const auto founding = makeFounding(name, seeds)) {
+                LoadedState &disk = members_.at(name).disk_.synced_;
+                disk.memberId_ = founding->memberId_;
+                disk.hardState_.cluster_ = founding->snapshot_.cluster_;
+                disk.snapshot_ = founding->snapshot_;
+            }
             boot(name);
-        bootstrapped_ = true;
+        }
     }
 
     /// @brief Starts an additional process with a blank disk.
@@ -343,7 +349,6 @@
     std::uint32_t snapshotEntries_;
     std::size_t snapshotBytes_;
     std::map<std::string, std::vector<std::string>> seeds_; ///< by process; empty: fixed membership
-    bool bootstrapped_ = false; ///< processes booted from now on may not bootstrap a cluster
     std::vector<std::string> names_;
     std::map<std::string, GroupMember> members_;
     std::vector<GroupMessage> messages_;
--- a/packages/decision/tests/unit-open_membership.cpp
+++ b/packages/decision/tests/unit-open_membership.cpp
@@ -142,6 +142,96 @@
     BOOST_TEST(isVoter());
 }
 
+// What happens to one of the founding members during the first start.
+enum class FoundingFault {
+    NeverStarts,
+    CrashesBeforeItsFirstSync, ///< it starts again on a blank disk
+    Crashes, ///< it starts again on its disk
+    LosesItsDisk, ///< at each crash
+};
+
+struct FoundingRow
+{
+    const char *description_;
+    int size_; ///< control processes, of which the first three are founding members
+    FoundingFault fault_;
+};
+
+std::ostream &operator<<(std::ostream &stream, const FoundingRow &row)
+{
+    return stream << row.description_;
+}
+
+const FoundingRow foundingTable[] = {
+    {"3 processes, one never starts", 3, FoundingFault::NeverStarts},
+    {"3 processes, one crashes before its first sync", 3, FoundingFault::CrashesBeforeItsFirstSync},
+    {"3 processes, one crashes", 3, FoundingFault::Crashes},
+    {"3 processes, one loses its disk", 3, FoundingFault::LosesItsDisk},
+    {"5 processes, one never starts", 5, FoundingFault::NeverStarts},
+    {"5 processes, one crashes before its first sync", 5, FoundingFault::CrashesBeforeItsFirstSync},
+    {"5 processes, one crashes", 5, FoundingFault::Crashes},
+    {"5 processes, one loses its disk", 5, FoundingFault::LosesItsDisk},
+};
+
+// Starts a group in which one founding member has a fault, with its first events in random order.
+void playFoundingFault(ControlGroup &group, const FoundingRow &row, const std::string &faulty)
+{
+    const auto crash = [&] {
+        if (row.fault_ == FoundingFault::LosesItsDisk)
+            group.replaceDisk(faulty);
+        else
+            group.crash(faulty);
+    };
+    if (row.fault_ == FoundingFault::NeverStarts)
+        group.crash(faulty);
+    if (row.fault_ == FoundingFault::CrashesBeforeItsFirstSync)
+        group.replaceDisk(faulty);
+    bool isRunning =
+        row.fault_ == FoundingFault::Crashes || row.fault_ == FoundingFault::LosesItsDisk;
+    const bool mayCrash = isRunning;
+    for (int event = 0; event < 60; ++event) {
+        const std::uint64_t choice = group.randomBelow(10);
+        const std::string &name = group.names()[group.randomBelow(group.names().size())];
+        if (choice < 4 && !group.messages().empty())
+            group.deliver(group.randomBelow(group.messages().size()));
+        else if (choice < 6)
+            group.syncOldest(name);
+        else if (choice < 9)
+            group.advance(milliseconds(20 + group.randomBelow(200)));
+        else if (mayCrash && isRunning)
+            crash();
+        else if (mayCrash)
+            group.boot(faulty);
+        if (choice == 9)
+            isRunning = mayCrash && !isRunning;
+    }
+    if (row.fault_ != FoundingFault::NeverStarts && !isRunning)
+        group.boot(faulty);
+}
+
+// Guards against a cluster that is never founded, or founded twice, since one of the founding
+// members fails before, during or after the founding.
+BOOST_DATA_TEST_CASE(one_cluster_is_founded_although_a_founding_member_fails,
+                     data::make(foundingTable) * data::xrange(1, 31), row, seed)
+{
+    ControlGroup group(row.size_, static_cast<std::uint64_t>(seed));
+    group.restartWithSeeds({"c1", "c2", "c3"});
+    playFoundingFault(group, row, group.names()[group.randomBelow(3)]);
+    group.run(seconds(5));
+    BOOST_REQUIRE(!group.leader().empty());
+    const std::uint64_t token = group.propose(document(1, "one"));
+    group.run(seconds(2));
+    BOOST_TEST((group.answers_[token].kind_ == OutcomeKind::Accepted));
+    std::set<std::uint64_t> clusters;
+    for (const std::string &name : group.names()) {
+        const GroupMember &member = group.member(name);
+        if (member.up_)
+            clusters.insert(member.state_.consensus_.hardState_.cluster_);
+    }
+    BOOST_TEST(clusters.size() == 1u);
+    BOOST_TEST(!clusters.contains(0));
+}
+
 BOOST_AUTO_TEST_CASE(blank_disks_after_the_first_start_bootstrap_no_cluster)
 {
     ControlGroup group(3, 2);
--- a/packages/server/src/run_process.cpp
+++ b/packages/server/src/run_process.cpp
@@ -1,3 +1,4 @@
+#include "chervilspring/detail/control/membership.hpp"
 #include "chervilspring/detail/process/agent_thread.hpp"
 #include "chervilspring/detail/process/control_thread.hpp"
 #include "chervilspring/detail/process/direct_thread.hpp"
@@ -234,12 +235,24 @@
     mainContext.run();
 }
 
+std::optional<FoundingState> foundingOf(const Settings &settings)
+{
+    if (!settings.openMembership_ || !settings.firstStart_)
+        return std::nullopt;
+    std::vector<std::string> names;
+    for (const ControlAddress &address : settings.control_)
+        names.push_back(address.name_);
+    return makeFounding(settings.name_, names);
+}
+
 leaf::result<std::pair<DiskLog, LoadedState>> openStorage(const Settings &settings)
 {
     std::optional<std::pair<DiskLog, LoadedState>> opened;
     const bool intact = handleErrors(
         [&]() -> leaf::result<void> {
-            BOOST_LEAF_AUTO(found, DiskLog::open(settings.dataFolder_, systemDiskCalls()));
+            BOOST_LEAF_AUTO(
+                found,
+                DiskLog::open(settings.dataFolder_, systemDiskCalls(), foundingOf(settings)));
             opened = std::move(found);
             return {};
         },
@@ -263,7 +276,9 @@
         [&]() -> leaf::result<void> {
             BOOST_LEAF_AUTO(storage, openStorage(settings));
             writeLog(LogLevel::Info,
-                     "storage opened entries=" + std::to_string(storage.second.entries_.size())
+                     "storage opened member=" + std::to_string(storage.second.memberId_)
+                         + " cluster=" + std::to_string(storage.second.hardState_.cluster_)
+                         + " entries=" + std::to_string(storage.second.entries_.size())
                          + " cut_bytes=" + std::to_string(storage.second.cutBytes_));
             control = std::make_unique<ControlThread>(
                 settings, std::move(storage.first), storage.second,
--- a/packages/storage/include/chervilspring/disk_log.hpp
+++ b/packages/storage/include/chervilspring/disk_log.hpp
@@ -36,10 +36,12 @@
     /// @brief Opens a data folder and loads its state. Initialises the folder if it is empty.
     /// @param folder data folder; created if missing
     /// @param calls system calls
+    /// @param founding first state of an empty folder; none: a random id
     /// @return the log and the loaded state, or ErrorId::LogDamaged or ErrorId::StorageFailed
     /// @since 0.1.0
-    static leaf::result<std::pair<DiskLog, LoadedState>> open(const std::filesystem::path &folder,
-                                                              DiskCalls calls);
+    static leaf::result<std::pair<DiskLog, LoadedState>>
+    open(const std::filesystem::path &folder, DiskCalls calls,
+         const std::optional<FoundingState> &founding = std::nullopt);
 
     DiskLog(DiskLog &&other) noexcept;
     DiskLog &operator=(DiskLog &&other) noexcept;
--- a/packages/storage/src/disk_log.cpp
+++ b/packages/storage/src/disk_log.cpp
@@ -246,8 +246,9 @@
         ::close(file_);
 }
 
-leaf::result<std::pair<DiskLog, LoadedState>> DiskLog::open(const std::filesystem::path &folder,
-                                                            DiskCalls calls)
+leaf::result<std::pair<DiskLog, LoadedState>>
+DiskLog::open(const std::filesystem::path &folder, DiskCalls calls,
+              const std::optional<FoundingState> &founding)
 {
     std::error_code error;
     std::filesystem::create_directories(folder, error);
@@ -260,8 +261,13 @@
         std::filesystem::remove(folder / (std::string(name) + temporarySuffix), error);
     LoadedState state;
     if (!std::filesystem::exists(folder / "member")) {
+        // The id comes last: a folder with the id of a founding member has its snapshot, too.
+        if (founding) {
+            log.hardState_.cluster_ = founding->snapshot_.cluster_;
+            BOOST_LEAF_CHECK(log.storeSnapshot(founding->snapshot_, OnFullDisk::Wait));
+        }
         std::string id;
-        put(id, randomId());
+        put(id, founding ? founding->memberId_ : randomId());
         BOOST_LEAF_CHECK(log.replaceFile("member", id, OnFullDisk::Wait));
     }
     BOOST_LEAF_ASSIGN(state.memberId_, loadMemberId(folder / "member"));
--- a/packages/storage/tests/unit-disk_log.cpp
+++ b/packages/storage/tests/unit-disk_log.cpp
@@ -1,6 +1,8 @@
 // Tests disk_log.hpp: reopening, incomplete and damaged records, failing disks.
 #include "chervilspring/disk_log.hpp"
 
+#include <boost/test/data/monomorphic.hpp>
+#include <boost/test/data/test_case.hpp>
 #include <boost/test/unit_test.hpp>
 
 #include <unistd.h>
@@ -101,6 +103,59 @@
     BOOST_TEST(state.memberId_ != 0u);
 }
 
+struct FoundingRow
+{
+    const char *description_;
+    const char *lostFile_; ///< file that a crash has left out of the founded folder; empty: none
+    bool isFounding_; ///< the folder is opened as that of a founding member again
+    bool isMember_; ///< it is that of the founding member then
+};
+
+std::ostream &operator<<(std::ostream &stream, const FoundingRow &row)
+{
+    return stream << row.description_;
+}
+
+const FoundingRow foundingTable[] = {
+    {"opened again", "", false, true},
+    {"opened again at the first start", "", true, true},
+    {"without an id", "member", false, false},
+    {"without an id at the first start", "member", true, true},
+};
+
+// Guards against a folder with the id of a founding member that lacks its state.
+BOOST_DATA_TEST_CASE(folder_of_a_founding_member_has_its_state,
+                     boost::unit_test::data::make(foundingTable), row)
+{
+    const TemporaryFolder folder("founding");
+    FoundingState founding;
+    founding.memberId_ = 77;
+    founding.snapshot_.cluster_ = 5;
+    founding.snapshot_.lastIndex_ = 1;
+    founding.snapshot_.members_ = {Member{77, "c1", true}, Member{78, "c2", true}};
+    const auto open = [&](bool isFounding) {
+        LoadedState loaded;
+        handleErrors(
+            [&]() -> leaf::result<void> {
+                BOOST_LEAF_AUTO(opened,
+                                DiskLog::open(folder.path_, systemDiskCalls(),
+                                              isFounding ? std::optional(founding) : std::nullopt));
+                loaded = std::move(opened.second);
+                return {};
+            },
+            [](const Error &error) { BOOST_ERROR(toString(error)); });
+        return loaded;
+    };
+    BOOST_TEST(open(true).memberId_ == 77u);
+    if (*row.lostFile_ != '\0')
+        fs::remove(folder.path_ / row.lostFile_);
+    const LoadedState loaded = open(row.isFounding_);
+    BOOST_TEST((loaded.memberId_ == 77u) == row.isMember_);
+    BOOST_TEST(loaded.hardState_.cluster_ == 5u);
+    BOOST_REQUIRE(loaded.snapshot_.has_value());
+    BOOST_TEST(loaded.snapshot_->members_.size() == 2u);
+}
+
 BOOST_AUTO_TEST_CASE(snapshot_replaces_entries)
 {
     const TemporaryFolder folder("snapshot");
