The status says that a configuration is in force at nodes that have it

A node whose view is new, but that still fetches the blocks of a large configuration, was shown as having it in force. Found by reading; no test shows it.

--- a/packages/decision/include/chervilspring/detail/control/control.hpp
+++ b/packages/decision/include/chervilspring/detail/control/control.hpp
@@ -84,6 +84,7 @@
 {
     Instant lastHeard_{}; ///< when its last heartbeat or announcement arrived
     std::uint64_t viewVersion_ = 0; ///< newest version of the view that the node has applied
+    std::uint64_t fleetVersion_ = 0; ///< version of the fleet configuration in that view
     std::uint64_t sentVersion_ = 0; ///< version that it has once all sent updates have arrived
     /// Version of an update that no heartbeat has confirmed yet; 0: there is none.
     std::uint64_t unconfirmedVersion_ = 0;
--- a/packages/decision/src/control/control.cpp
+++ b/packages/decision/src/control/control.cpp
@@ -433,6 +433,7 @@
     NodeStatus &node = state.nodes_[peer];
     node.lastHeard_ = now;
     confirmVersion(node, heartbeat.viewVersion_, now);
+    node.fleetVersion_ = heartbeat.fleetVersion_;
     node.holdsView_ = heartbeat.viewVersion_ != 0 || !heartbeat.awaitsView_;
     node.isAgent_ = heartbeat.upstream_.has_value();
     node.isEntry_ = heartbeat.isEntry_;
--- a/packages/server/src/control_thread.cpp
+++ b/packages/server/src/control_thread.cpp
@@ -397,7 +397,7 @@
         nodes.push_back(boost::json::object{{"name", name},
                                             {"role", node.isAgent_ ? "agent" : "entry"},
                                             {"view_version", node.viewVersion_},
-                                            {"in_force", node.viewVersion_ >= view.fleetVersion_},
+                                            {"in_force", node.fleetVersion_ >= view.fleetVersion_},
                                             {"silent_ms", silence / milliseconds(1)},
                                             {"queued", node.load_.queued_},
                                             {"running", node.load_.running_},
