Traffic threads end before the node that they use is destroyed

Cause: at a planned stop the node was destroyed before the threads that read its view and post events to it had ended. No test shows it without a pause in the product.

--- a/packages/server/include/chervilspring/detail/process/node_thread.hpp
+++ b/packages/server/include/chervilspring/detail/process/node_thread.hpp
@@ -67,6 +67,9 @@
     /// @brief Starts the thread.
     void start();
 
+    /// @brief Ends the thread. No callback is invoked afterwards, and later events are ignored.
+    void stop();
+
     /// @brief Queues an event for the reducer.
     void post(NodeEvent event);
 
--- a/packages/server/src/node_thread.cpp
+++ b/packages/server/src/node_thread.cpp
@@ -51,13 +51,19 @@
 
 NodeThread::~NodeThread()
 {
+    stop();
+}
+
+void NodeThread::stop()
+{
+    if (!thread_.joinable())
+        return;
     boost::asio::post(context_, [this] {
         timer_.cancel();
         network_.close();
         context_.stop();
     });
-    if (thread_.joinable())
-        thread_.join();
+    thread_.join();
 }
 
 void NodeThread::start()
--- a/packages/server/src/run_process.cpp
+++ b/packages/server/src/run_process.cpp
@@ -180,6 +180,9 @@
         });
     });
     mainContext.run();
+    // The node's thread calls the traffic threads back, and these use the node until they end.
+    node.stop();
+    shards.clear();
 }
 
 void runDirectEntry(const Settings &settings, const DirectProtocol &protocol,
@@ -205,6 +208,9 @@
         traffic->stop(settings.grace_, makeStopCallback(mainContext));
     });
     mainContext.run();
+    // The node's thread calls the traffic threads back, and these use the node until they end.
+    node.stop();
+    traffic.reset();
 }
 
 void runAgent(const Settings &settings, asio::io_context &mainContext, asio::signal_set &signals)
@@ -233,6 +239,9 @@
         });
     });
     mainContext.run();
+    // The node's thread calls the traffic threads back, and these use the node until they end.
+    node.stop();
+    agent.reset();
 }
 
 std::optional<FoundingState> foundingOf(const Settings &settings)
