--- a/packages/decision/include/chervilspring/detail/control/control.hpp
+++ b/packages/decision/include/chervilspring/detail/control/control.hpp
@@ -103,7 +103,7 @@
 };
 
 /// @brief Announcements of a direct upstream after its departure, each with a higher sequence.
-struct ReturnSigns
+struct ReturnEvidence
 {
     std::uint64_t boot_ = 0; ///< boot id in the announcements
     std::uint64_t sequence_ = 0; ///< sequence of the last one
@@ -136,7 +136,7 @@
     FleetBlocks fleetBlocks_; ///< those of the configuration that was sent last
     std::map<std::uint64_t, Waiter> waiters_; ///< by log index
     std::map<std::string, NodeStatus> nodes_; ///< by node name
-    std::map<std::string, ReturnSigns> returnSigns_; ///< by name of the upstream
+    std::map<std::string, ReturnEvidence> returnEvidence_; ///< by name of the upstream
     /// By suspect digest: last known number of crashes, and when this process saw it change.
     std::map<std::uint64_t, std::pair<std::uint32_t, Instant>> suspectCrashes_;
     MemberRole lastRole_ = MemberRole::Learner; ///< role at the end of the last step
--- a/packages/decision/src/control/control.cpp
+++ b/packages/decision/src/control/control.cpp
@@ -201,7 +201,7 @@
         return;
     if (state.lastRole_ == MemberRole::Leader)
         failWaiters(state, effects);
-    state.returnSigns_.clear();
+    state.returnEvidence_.clear();
     if (role == MemberRole::Leader) {
         state.leadingSince_ = now;
         // No entry can hold a share before the first fleet configuration exists.
@@ -256,7 +256,7 @@
         return;
     }
     if (const auto *removal = std::get_if<RemoveUpstream>(&command); removal && removal->departed_)
-        state.returnSigns_.erase(removal->name_);
+        state.returnEvidence_.erase(removal->name_);
     Waiter stored = waiter;
     stored.term_ = state.consensus_.hardState_.term_;
     state.waiters_[*index] = stored;
@@ -320,19 +320,20 @@
 // so that the departure was one of an earlier start and arrived late.
 bool hasReturned(ControlState &state, Instant now, const Upstream &announced)
 {
-    ReturnSigns &signs = state.returnSigns_[announced.name_];
-    if (announced.agentBoot_ > signs.boot_)
-        signs = ReturnSigns{.boot_ = announced.agentBoot_};
-    const bool isFirst = signs.announcements_ == 0;
-    const bool isNewer = isFirst || announced.sequence_ > signs.sequence_;
-    if (announced.agentBoot_ != signs.boot_ || !isNewer)
+    ReturnEvidence &evidence = state.returnEvidence_[announced.name_];
+    if (announced.agentBoot_ > evidence.boot_)
+        evidence = ReturnEvidence{.boot_ = announced.agentBoot_};
+    const bool isFirst = evidence.announcements_ == 0;
+    const bool isNewer = isFirst || announced.sequence_ > evidence.sequence_;
+    if (announced.agentBoot_ != evidence.boot_ || !isNewer)
         return false;
-    signs.sequence_ = announced.sequence_;
-    signs.lastAt_ = now;
+    evidence.sequence_ = announced.sequence_;
+    evidence.lastAt_ = now;
     if (isFirst)
-        signs.firstAt_ = now;
-    ++signs.announcements_;
-    return signs.announcements_ >= returnAnnouncements && now - signs.firstAt_ >= returnPeriod;
+        evidence.firstAt_ = now;
+    ++evidence.announcements_;
+    return evidence.announcements_ >= returnAnnouncements
+        && now - evidence.firstAt_ >= returnPeriod;
 }
 
 // Renews the lease of a direct upstream. An announcement that changes nothing is answered at once;
@@ -514,7 +515,7 @@
     std::erase_if(state.nodes_, [&](const auto &item) {
         return now - item.second.lastHeard_ > lease && item.second.shareExpires_ <= now;
     });
-    std::erase_if(state.returnSigns_,
+    std::erase_if(state.returnEvidence_,
                   [&](const auto &item) { return now - item.second.lastAt_ > lease; });
     for (const RemoveUpstream &removal : expired) {
         effects.push_back(DecisionLine{"decision=membership upstream=" + removal.name_
