Agents pass on events of successful answers only

Callers of pipelines would see: tokens from the body of an answer with the status 000, 404 or 500, streamed before the stage failed.

Cause: the client read each body as events and looked at the status when the answer had ended. Now it looks at the status first.

server:events_of_an_unsuccessful_answer_are_not_passed_on failed in six of eight rows before.

--- a/packages/server/include/chervilspring/detail/net/http_client.hpp
+++ b/packages/server/include/chervilspring/detail/net/http_client.hpp
@@ -46,7 +46,7 @@
     HttpCallEnd end_ = HttpCallEnd::Unreachable;
     unsigned status_ = 0; ///< HTTP status; 0 unless the call was answered
     std::string contentType_; ///< header Content-Type of the answer
-    std::string body_; ///< empty if events were passed to a callback
+    std::string body_; ///< empty if its events were passed to a callback
     std::string detail_; ///< why the call was not answered; empty otherwise
     std::string requestId_; ///< header X-Request-Id of the answer
     std::vector<HttpHeader> headers_; ///< all headers of the answer
@@ -61,8 +61,8 @@
 
     /// @brief Makes a call.
     /// @param call parameters of the call
-    /// @param onEvent called with the data of each server-sent event; if empty, the body is
-    /// collected
+    /// @param onEvent called with the data of each server-sent event of an answer with status 2xx;
+    /// the body of any other answer is collected, and of all answers if onEvent is empty
     /// @return result of the call; network errors are reported in it, never thrown
     boost::asio::awaitable<HttpCallResult>
     perform(HttpCall call, std::function<void(const std::string &)> onEvent = {});
--- a/packages/server/src/http_client.cpp
+++ b/packages/server/src/http_client.cpp
@@ -21,6 +21,7 @@
 constexpr std::size_t maxIdlePerServer = 64; // idle connections
 constexpr auto connectTimeout = milliseconds(1000);
 constexpr std::size_t maxAnswerDigests = 64; // of a connection
+constexpr unsigned successStatusClass = 2; // 2xx
 
 std::string serverKey(const std::string &address, std::uint16_t port)
 {
@@ -133,6 +134,8 @@
     MessageSize messageSize;
     co_await readHead(stream, buffer, parser, messageSize, error);
     receivedBytes = receivedBytes || parser.got_some() || buffer.size() > 0;
+    // The body of an answer that is no success is a message, whatever its form.
+    const bool passesEvents = onEvent && parser.get().result_int() / 100 == successStatusClass;
     std::string pending;
     std::size_t searchOffset = 0;
     while (!error && !parser.is_done()) {
@@ -141,8 +144,11 @@
         messageSize.bodyBytes_ += parser.get().body().size() - previousSize;
         if (!error && !isWithinLimit(messageSize))
             error = http::error::body_limit;
-        if (!onEvent)
+        if (!passesEvents) {
+            if (parser.get().body().size() > call.answerLimit_)
+                error = http::error::body_limit;
             continue;
+        }
         pending += parser.get().body();
         parser.get().body().clear();
         extractEvents(pending, searchOffset, onEvent);
--- a/packages/server/tests/unit-answer_cuts.cpp
+++ b/packages/server/tests/unit-answer_cuts.cpp
@@ -657,4 +657,45 @@
     checkStageCuts(row, ending, true);
 }
 
+struct UnreadCallRow
+{
+    Ending ending_;
+    std::size_t bodyBytes_; ///< of the request
+};
+
+std::ostream &operator<<(std::ostream &stream, const UnreadCallRow &row)
+{
+    return stream << row.ending_ << ", " << row.bodyBytes_ << " bytes";
+}
+
+const UnreadCallRow unreadCallTable[] = {
+    {Ending::CloseUnread, unreadBodyBytes},
+    {Ending::ResetUnread, unreadBodyBytes},
+    {Ending::ResetUnread, 64u << 10}, // taken whole by the system
+};
+
+// The same for calls whose request is written before the answer is read.
+BOOST_DATA_TEST_CASE(call_is_not_answered_if_its_request_is_not_read,
+                     data::make(unreadTable) * data::make(unreadCallTable), row, unread)
+{
+    asio::io_context context;
+    CutUpstream upstream(context, unread.ending_);
+    HttpClient client(context);
+    upstream.answer_ = [&](const std::string &) { return answerTo(row, "0"); };
+    const std::size_t total = answerTo(row, "0").size();
+    upstream.cuts_.push_back({total - row.body_.size() / 2, 0});
+    HttpCall call;
+    call.address_ = "127.0.0.1";
+    call.port_ = upstream.port();
+    call.target_ = "/";
+    call.headers_ = {{idHeader, "0"}};
+    call.body_.assign(unread.bodyBytes_, 'b');
+    call.limit_ = seconds(1);
+    std::optional<HttpCallResult> result;
+    asio::co_spawn(context, client.perform(call, {}),
+                   [&](std::exception_ptr, HttpCallResult ended) { result = std::move(ended); });
+    BOOST_REQUIRE(runUntil(context, [&] { return result.has_value(); }));
+    BOOST_TEST((result->end_ != HttpCallEnd::Answered), result->body_);
+}
+
 } // namespace
--- a/packages/server/tests/unit-http_client.cpp
+++ b/packages/server/tests/unit-http_client.cpp
@@ -7,6 +7,8 @@
 #include <boost/asio/detached.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
+#include <boost/test/data/monomorphic.hpp>
+#include <boost/test/data/test_case.hpp>
 #include <boost/test/unit_test.hpp>
 
 #include <optional>
@@ -15,6 +17,7 @@
 
 using namespace chervilspring;
 namespace asio = boost::asio;
+namespace data = boost::unit_test::data;
 namespace http = boost::beast::http;
 using asio::use_awaitable;
 using asio::ip::tcp;
@@ -168,4 +171,55 @@
     BOOST_TEST(!result.detail_.empty());
 }
 
+struct StatusRow
+{
+    const char *statusLine_;
+    unsigned status_; ///< as reported
+    bool successful_;
+};
+
+std::ostream &operator<<(std::ostream &stream, const StatusRow &row)
+{
+    return stream << row.statusLine_;
+}
+
+const StatusRow statusTable[] = {
+    {"HTTP/1.1 200 OK", 200, true},
+    {"HTTP/1.1 000 Unknown", 0, false},
+    {"HTTP/1.1 404 Not Found", 404, false},
+    {"HTTP/1.1 500 Internal Server Error", 500, false},
+};
+
+// Guards against events of an answer that is no success, or has no valid status, being passed on to
+// callers as tokens.
+BOOST_DATA_TEST_CASE(events_of_an_unsuccessful_answer_are_not_passed_on,
+                     data::make(statusTable) * data::make({true, false}), row, chunked)
+{
+    const std::string events = "data: one\n\ndata: two\n\n"; // 22 bytes
+    asio::io_context context;
+    ScriptedUpstream upstream(context, [&](int, const ScriptedUpstream::Request &) {
+        const std::string head = std::string(row.statusLine_) + "\r\n";
+        return chunked
+            ? head + "Transfer-Encoding: chunked\r\n\r\n16\r\n" + events + "\r\n0\r\n\r\n"
+            : head + "Content-Length: 22\r\n\r\n" + events;
+    });
+    HttpClient client(context);
+    HttpCall call;
+    call.address_ = "127.0.0.1";
+    call.port_ = upstream.port();
+    call.target_ = "/";
+    std::vector<std::string> received;
+    std::optional<HttpCallResult> result;
+    asio::co_spawn(
+        context, client.perform(call, [&](const std::string &event) { received.push_back(event); }),
+        [&](std::exception_ptr, HttpCallResult ended) { result = std::move(ended); });
+    for (int i = 0; i < 200 && !result; ++i)
+        context.run_for(milliseconds(10));
+    BOOST_REQUIRE(result.has_value());
+    BOOST_TEST((result->end_ == HttpCallEnd::Answered));
+    BOOST_TEST(result->status_ == row.status_);
+    BOOST_TEST(received.size() == (row.successful_ ? 2u : 0u));
+    BOOST_TEST(result->body_ == (row.successful_ ? std::string() : events));
+}
+
 } // namespace
