Review case 15: a late registration lists a server again that has left

Tried: a server starts again under its id behind a cut from the control processes, its registrations arrive after the acknowledged departure.

--- a/review/fleet-3/fleet.cpp
+++ b/review/fleet-3/fleet.cpp
@@ -275,10 +275,10 @@
     return text + "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
 }
 
-Server::Server(std::string address, Handler handler)
+Server::Server(std::string address, Handler handler, std::uint16_t port)
     : address_(std::move(address)), handler_(std::move(handler))
 {
-    listener_ = bindTo(address_, 0);
+    listener_ = bindTo(address_, port);
     if (listener_ < 0 || ::listen(listener_, SOMAXCONN) != 0)
         std::_Exit(exitNotRun);
     port_ = portOf(listener_);
@@ -620,11 +620,15 @@
         runs_.begin(), runs_.end(), [&](const Run &run) { return run.request_ == request; }));
 }
 
-PlainServer::PlainServer(std::string address, std::string id, Runs &runs, milliseconds workTime)
+PlainServer::PlainServer(std::string address, std::string id, Runs &runs, milliseconds workTime,
+                         std::uint16_t port)
     : id_(std::move(id)), runs_(runs), workTime_(workTime),
-      server_(std::move(address), [this](Connection &connection, const Message &request) {
-          return answer(connection, request);
-      })
+      server_(
+          std::move(address),
+          [this](Connection &connection, const Message &request) {
+              return answer(connection, request);
+          },
+          port)
 { }
 
 bool PlainServer::answer(Connection &connection, const Message &request)
--- a/review/fleet-3/fleet.hpp
+++ b/review/fleet-3/fleet.hpp
@@ -97,7 +97,8 @@
     /// Returns whether the connection stays open for another request.
     using Handler = std::function<bool(Connection &, const Message &)>;
 
-    Server(std::string address, Handler handler);
+    /// @param port port to listen on; 0: any free one
+    Server(std::string address, Handler handler, std::uint16_t port = 0);
     ~Server();
     /// @brief Stops listening and resets all connections, like a process that has ended.
     void stop();
@@ -229,7 +230,8 @@
 class PlainServer
 {
 public:
-    PlainServer(std::string address, std::string id, Runs &runs, milliseconds workTime);
+    PlainServer(std::string address, std::string id, Runs &runs, milliseconds workTime,
+                std::uint16_t port = 0);
     const std::string &id() const { return id_; }
     Server &server() { return server_; }
     /// @brief Called before a request is run. Returns whether the server goes on with it.
