Review case 11: two planned replacements at once leave a core that can't bear a loss

Tried: two of five control machines replaced as planned, both new ones first; much later two disks lost right after a change, as many as the sheet allows. Replaces the earlier form of this case (one replacement, the loss 0.8 s later).

--- a/review/11/case.cpp
+++ b/review/11/case.cpp
@@ -1,4 +1,5 @@
-// A control machine is replaced as planned, and right after its end another one loses its disk.
+// Two of five control machines are replaced as planned: both new machines come first, then the old
+// ones are stopped for good. Much later two machines lose their disks right after a change.
 #include "fleet.hpp"
 
 #include <signal.h>
@@ -10,11 +11,10 @@
 namespace {
 
 constexpr auto startTimeout = milliseconds(20000);
-constexpr auto catchUpTime = milliseconds(8000); // twice catch_up_s
+constexpr auto catchUpTime = milliseconds(9000); // one and a half times catch_up_s
 constexpr auto grace = milliseconds(8000); // grace_s
-constexpr auto untilLoss = milliseconds(800); // from the end of the one machine to the loss
-constexpr auto downTime = milliseconds(1000); // of the machine that loses its disk
-constexpr auto recoveryTime = milliseconds(36000); // three times recovery_s
+constexpr auto downTime = milliseconds(1000); // of the machines that lose their disks
+constexpr auto recoveryTime = milliseconds(45000); // three times recovery_s
 constexpr auto readTimeout = milliseconds(3000);
 
 } // namespace
@@ -24,29 +24,34 @@
     if (argc != 4)
         return exitNotRun;
     Record record(argv[3]);
-    Fleet fleet(record, argv[1], argv[2], 3, 1);
+    Fleet fleet(record, argv[1], argv[2], 5, 1);
     fleet.start();
     const std::string tenants = R"([{"name":"t1","api_keys":["key-one"],"priority":1}])";
     if (!fleet.apply(desiredState(3, tenants), startTimeout))
         return exitNotRun;
     std::this_thread::sleep_for(catchUpTime);
-    // The new machine comes first. The old one stops counting once its successor has caught up.
+    std::vector<std::string> old = fleet.controls();
+    std::erase(old, fleet.leader());
     fleet.addControl();
+    fleet.addControl();
+    // From here on the machines that they replace don't count any more.
     std::this_thread::sleep_for(catchUpTime);
-    const std::string leader = fleet.leader();
-    record.write("leader: " + leader);
-    const std::string replaced = fleet.controls()[fleet.controls()[0] == leader ? 1 : 0];
-    fleet.signal(replaced, SIGTERM);
-    if (!waitUntil([&] { return !fleet.isRunning(replaced); }, grace))
-        fleet.signal(replaced, SIGKILL);
-    fleet.removeControl(replaced);
-    std::this_thread::sleep_for(untilLoss);
+    for (std::size_t i = 0; i < 2; ++i) {
+        fleet.signal(old[i], SIGTERM);
+        if (!waitUntil([&] { return !fleet.isRunning(old[i]); }, grace))
+            return exitNotRun;
+        fleet.removeControl(old[i]);
+        std::this_thread::sleep_for(catchUpTime);
+    }
     const std::string newest = desiredState(7, tenants);
     if (!fleet.apply(newest, startTimeout))
         return exitNotRun;
-    // The machine that has just acknowledged the change loses its disk.
+    const std::string leader = fleet.leader();
+    record.write("leader: " + leader + ", of " + std::to_string(fleet.controls().size())
+                 + " machines");
     if (hasTrouble())
-        fleet.loseDisks({leader}, downTime);
+        fleet.loseDisks({leader, fleet.controls()[fleet.controls()[0] == leader ? 1 : 0]},
+                        downTime);
     // All machines that exist run from here on.
     const auto isReadBack = [&] {
         const Message read = fleet.control("GET", "/-/config", "", readTimeout, "operator");
