Groups keep as many voters as took part in the first start

What had been acknowledged could neither be read nor changed.

Cause, the same for both: who counts as a voter followed from whether the number of voters was even. Seven voters, two of them gone for good, stayed seven. Four voters, since the seat of a lost disk was vacant for a moment, let a member go that was only down; the learner that waited for the vacant seat was taken for that member's successor, too.

Now the group has a size, the number of founding members. Their ids follow from their names, so that the log shows how many there were.

--- a/packages/core/include/chervilspring/messages.hpp
+++ b/packages/core/include/chervilspring/messages.hpp
@@ -323,7 +323,8 @@
 /// @brief A control process as a member of the replicated log.
 struct Member
 {
-    std::uint64_t id_ = 0; ///< random id of its disk, created when the disk was formatted
+    /// Id of its disk, created when the disk was formatted: random, or foundingId().
+    std::uint64_t id_ = 0;
     std::string name_;
     bool voter_ = false; ///< false: learner
     auto operator<=>(const Member &) const = default;
@@ -538,10 +539,12 @@
     std::uint64_t documentVersion_ = 0; ///< version of document_
     std::string document_; ///< newest accepted configuration document, as it was sent
     std::vector<Departure> departures_; ///< newest departures of upstreams, oldest first
+    std::uint32_t foundingMembers_ = 0; ///< number of founding members; 0: not known
 };
 BOOST_DESCRIBE_STRUCT(Snapshot, (),
                       (cluster_, lastIndex_, lastTerm_, time_, members_, view_, records_,
-                       operationIds_, operationOutcomes_, documentVersion_, document_, departures_))
+                       operationIds_, operationOutcomes_, documentVersion_, document_, departures_,
+                       foundingMembers_))
 
 /// @brief Sends a snapshot to a member that needs entries no longer in the leader's log.
 struct InstallSnapshot
--- a/packages/decision/include/chervilspring/detail/control/consensus.hpp
+++ b/packages/decision/include/chervilspring/detail/control/consensus.hpp
@@ -66,6 +66,7 @@
 {
     std::uint64_t index_ = 0; ///< index of the entry or snapshot that introduced the list
     std::vector<Member> members_;
+    std::uint32_t foundingMembers_ = 0; ///< most founding members that a list has had until now
 };
 
 /// @brief Complete consensus state of one member.
--- a/packages/decision/include/chervilspring/persistence.hpp
+++ b/packages/decision/include/chervilspring/persistence.hpp
@@ -33,7 +33,7 @@
 struct FoundingState
 {
     std::uint64_t memberId_ = 0; ///< id of the data folder and of its member
-    Snapshot snapshot_; ///< the founding members, all of them voters
+    std::optional<Snapshot> snapshot_; ///< the first voters; none: the process isn't among them
 };
 
 /// @brief Persistent state as loaded at start.
--- a/packages/decision/src/control/consensus.cpp
+++ b/packages/decision/src/control/consensus.cpp
@@ -83,7 +83,7 @@
     state.baseIndex_ = state.snapshotIndex_ = state.commitIndex_ = state.appliedIndex_ =
         snapshot->lastIndex_;
     state.baseTerm_ = snapshot->lastTerm_;
-    state.memberLists_ = {MemberList{snapshot->lastIndex_, snapshot->members_}};
+    state.memberLists_ = {memberListOf(*snapshot)};
     PersistBatch batch;
     batch.hardState_ = state.hardState_;
     batch.snapshot_ = *snapshot;
@@ -111,8 +111,10 @@
     const auto plan = planMembership(state, now);
     if (!plan)
         return;
-    addDecisionLine(output, state, "membership=" + plan->reason_);
     append(state, now, wall, ChangeMembers{plan->members_}, output);
+    addDecisionLine(output, state,
+                    "membership=" + plan->reason_ + " voters=" + std::to_string(voterCount(state))
+                        + " group_size=" + std::to_string(groupSize(state)));
 }
 
 // Returns the index of the oldest entry that stays in memory when all applied ones are covered by a
@@ -132,6 +134,18 @@
     return first;
 }
 
+// Stores the member list in force at appliedIndex_.
+void storeAppliedMembers(const ConsensusState &state, Snapshot &snapshot)
+{
+    const MemberList *covered = &state.memberLists_.front();
+    for (const MemberList &list : state.memberLists_) {
+        if (list.index_ <= state.appliedIndex_)
+            covered = &list;
+    }
+    snapshot.members_ = covered->members_;
+    snapshot.foundingMembers_ = covered->foundingMembers_;
+}
+
 } // namespace
 
 const std::vector<Member> &members(const ConsensusState &state)
@@ -191,7 +205,7 @@
         state.baseTerm_ = loaded.snapshot_->lastTerm_;
         state.snapshotSize_ = memorySize(*loaded.snapshot_);
         state.commitIndex_ = state.appliedIndex_ = state.baseIndex_;
-        state.memberLists_.push_back(MemberList{state.baseIndex_, loaded.snapshot_->members_});
+        state.memberLists_.push_back(memberListOf(*loaded.snapshot_));
     }
     state.log_.assign(loaded.entries_.begin(), loaded.entries_.end());
     state.syncedIndex_ = lastIndex(state);
@@ -311,12 +325,7 @@
     snapshot.cluster_ = state.hardState_.cluster_;
     snapshot.lastIndex_ = state.appliedIndex_;
     snapshot.lastTerm_ = termAt(state, state.appliedIndex_).value_or(0);
-    const MemberList *covered = &state.memberLists_.front();
-    for (const MemberList &list : state.memberLists_) {
-        if (list.index_ <= state.appliedIndex_)
-            covered = &list;
-    }
-    snapshot.members_ = covered->members_;
+    storeAppliedMembers(state, snapshot);
     state.snapshotIndex_ = snapshot.lastIndex_;
     state.snapshotSize_ = memorySize(snapshot);
     state.appliedSize_ = 0;
@@ -339,10 +348,7 @@
     snapshot.cluster_ = state.hardState_.cluster_;
     snapshot.lastIndex_ = state.appliedIndex_;
     snapshot.lastTerm_ = termAt(state, state.appliedIndex_).value_or(0);
-    for (const MemberList &list : state.memberLists_) {
-        if (list.index_ <= state.appliedIndex_)
-            snapshot.members_ = list.members_;
-    }
+    storeAppliedMembers(state, snapshot);
     Progress &progress = state.progress_[member];
     progress.lastSnapshotSent_ = now;
     addDecisionLine(output, state,
--- a/packages/decision/src/control/consensus_common.cpp
+++ b/packages/decision/src/control/consensus_common.cpp
@@ -1,5 +1,6 @@
 #include "chervilspring/detail/control/consensus_steps.hpp"
 
+#include "chervilspring/detail/control/membership.hpp"
 #include "chervilspring/memory_size.hpp"
 
 #include <algorithm>
@@ -142,7 +143,8 @@
     const auto *list = std::get_if<ChangeMembers>(&entry.command_);
     if (!list)
         return;
-    state.memberLists_.push_back(MemberList{entry.index_, list->members_});
+    const MemberList *previous = state.memberLists_.empty() ? nullptr : &state.memberLists_.back();
+    state.memberLists_.push_back(nextMemberList(previous, entry.index_, list->members_));
     adoptRoleFromMembers(state, output);
 }
 
--- a/packages/decision/src/control/consensus_replication.cpp
+++ b/packages/decision/src/control/consensus_replication.cpp
@@ -1,5 +1,6 @@
 #include "chervilspring/detail/control/consensus_steps.hpp"
 
+#include "chervilspring/detail/control/membership.hpp"
 #include "chervilspring/memory_size.hpp"
 
 #include <algorithm>
@@ -281,7 +282,7 @@
         state.commitIndex_ = state.appliedIndex_ = snapshot.lastIndex_;
         state.unsyncedBatches_.clear();
         state.syncedIndex_ = 0;
-        state.memberLists_ = {MemberList{snapshot.lastIndex_, snapshot.members_}};
+        state.memberLists_ = {memberListOf(snapshot)};
         adoptRoleFromMembers(state, output);
         addDecisionLine(output, state,
                         "restored=snapshot index=" + std::to_string(snapshot.lastIndex_));
--- a/packages/decision/src/control/membership.cpp
+++ b/packages/decision/src/control/membership.cpp
@@ -10,7 +10,9 @@
 namespace {
 
 constexpr std::size_t maxVoters = 5;
-constexpr std::size_t maxOpenVoters = 7; // largest number of VMs reserved for control processes
+constexpr std::size_t maxOpenGroupSize = 7; // largest number of VMs reserved for control processes
+// With successors of all members that a group of that size may replace at once.
+constexpr std::size_t maxOpenVoters = maxOpenGroupSize + maxOpenGroupSize / 2;
 constexpr std::uint64_t maxPromotionLagEntries = 64;
 constexpr auto maxJoinAge = seconds(2);
 
@@ -77,10 +79,8 @@
     const bool anyLost = std::any_of(list.begin(), list.end(), [&](const Member &m) {
         return m.voter_ && isLost(state, m, now);
     });
-    if (state.settings_.openMembership_)
-        return voters < maxOpenVoters || (voters == maxOpenVoters && anyLost);
-    const std::size_t target = std::min(state.settings_.controlNames_.size(), maxVoters);
-    return voters < target || (voters == target && anyLost);
+    const std::size_t limit = state.settings_.openMembership_ ? maxOpenVoters : groupSize(state);
+    return voters < limit || (voters == limit && anyLost);
 }
 
 const Member *findReadyLearner(const ConsensusState &state, Instant now)
@@ -116,24 +116,6 @@
     return lost;
 }
 
-// Tells whether a lost voter may be removed. The remaining voters must be able to go on without the
-// next one that joins: a quorum of them is never larger than before.
-// hasReplacement: a learner has caught up that needs its place
-bool canRemoveVoter(const ConsensusState &state, const Member &lost, bool hasReplacement)
-{
-    const std::size_t voters = voterCount(state);
-    if (voters <= 2)
-        return false;
-    // A voter without its disk never votes again, while a silent one may return.
-    if (isReplaced(state, lost) || hasReplacement)
-        return true;
-    // With open membership no number of voters is configured. An even number of them tolerates no
-    // more failures than one voter fewer.
-    if (state.settings_.openMembership_)
-        return voters % 2 == 0 || voters > maxOpenVoters;
-    return voters > std::min(state.settings_.controlNames_.size(), maxVoters);
-}
-
 // Tells whether the other voters form a quorum without a learner that is promoted. It may fail
 // before it has stored that it votes, and lose its disk, so that nobody could remove it.
 bool canPromoteLearner(const ConsensusState &state, const Member &learner, Instant now)
@@ -179,32 +161,74 @@
 {
     if (isChangeInProgress(state))
         return std::nullopt;
-    const Member *learner = findReadyLearner(state, now);
+    const std::size_t voters = voterCount(state);
+    const std::size_t size = groupSize(state);
     const Member *lost = findLostVoter(state, now);
-    if (lost && canRemoveVoter(state, *lost, learner != nullptr))
+    const bool mayRemove = lost && voters > 2;
+    if (mayRemove && (isReplaced(state, *lost) || voters > size))
+        return planRemoval(state, *lost);
+    const Member *learner = findReadyLearner(state, now);
+    const bool canPromote = learner && canPromoteLearner(state, *learner, now);
+    if (canPromote && voters < size)
+        return planPromotion(state, *learner);
+    if (mayRemove && learner)
         return planRemoval(state, *lost);
-    if (learner && canPromoteLearner(state, *learner, now))
+    if (canPromote)
         return planPromotion(state, *learner);
     return addLearner(state, now);
 }
 
-std::optional<FoundingState> makeFounding(const std::string &self,
-                                          const std::vector<std::string> &names)
+std::size_t groupSize(const ConsensusState &state)
+{
+    if (!state.settings_.openMembership_)
+        return std::min(state.settings_.controlNames_.size(), maxVoters);
+    const std::size_t founding =
+        state.memberLists_.empty() ? 0 : state.memberLists_.back().foundingMembers_;
+    return std::min(founding | 1, maxOpenGroupSize);
+}
+
+std::uint64_t foundingId(const std::string &name)
+{
+    return contentDigest("founding member " + name);
+}
+
+MemberList memberListOf(const Snapshot &snapshot)
+{
+    MemberList list{snapshot.lastIndex_, snapshot.members_, snapshot.foundingMembers_};
+    if (list.foundingMembers_ == 0) // written by a version that didn't count them
+        list.foundingMembers_ = static_cast<std::uint32_t>(
+            std::count_if(list.members_.begin(), list.members_.end(),
+                          [](const Member &member) { return member.voter_; }));
+    return list;
+}
+
+MemberList nextMemberList(const MemberList *previous, std::uint64_t index,
+                          const std::vector<Member> &members)
+{
+    // The largest number, so that a removed member stays counted, and only once if it returns.
+    const auto present = static_cast<std::uint32_t>(
+        std::count_if(members.begin(), members.end(),
+                      [](const Member &member) { return member.id_ == foundingId(member.name_); }));
+    return MemberList{index, members, std::max(present, previous ? previous->foundingMembers_ : 0)};
+}
+
+FoundingState makeFounding(const std::string &self, const std::vector<std::string> &seeds)
 {
-    if (std::find(names.begin(), names.end(), self) == names.end())
-        return std::nullopt;
-    const std::set<std::string> sorted(names.begin(), names.end());
     FoundingState founding;
+    founding.memberId_ = foundingId(self);
+    if (std::find(seeds.begin(), seeds.end(), self) == seeds.end())
+        return founding;
+    const std::set<std::string> sorted(seeds.begin(), seeds.end());
+    Snapshot snapshot;
     std::string all;
     for (const std::string &name : sorted) {
-        const std::uint64_t id = contentDigest("founding member " + name);
-        founding.snapshot_.members_.push_back(Member{id, name, true});
-        if (name == self)
-            founding.memberId_ = id;
+        snapshot.members_.push_back(Member{foundingId(name), name, true});
         all += name + "\n";
     }
-    founding.snapshot_.cluster_ = contentDigest("founding members " + all);
-    founding.snapshot_.lastIndex_ = 1;
+    snapshot.cluster_ = contentDigest("founding members " + all);
+    snapshot.lastIndex_ = 1;
+    snapshot.foundingMembers_ = static_cast<std::uint32_t>(snapshot.members_.size());
+    founding.snapshot_ = std::move(snapshot);
     return founding;
 }
 
--- a/packages/decision/tests/control_group.hpp
+++ b/packages/decision/tests/control_group.hpp
@@ -107,12 +107,12 @@
         messages_.clear();
         for (const std::string &name : names_) {
             seeds_[name] = seeds;
-            if (const auto founding = makeFounding(name, seeds)) {
-                LoadedState &disk = members_.at(name).disk_.synced_;
-                disk.memberId_ = founding->memberId_;
-                disk.hardState_.cluster_ = founding->snapshot_.cluster_;
-                disk.snapshot_ = founding->snapshot_;
-            }
+            const FoundingState founding = makeFounding(name, seeds);
+            LoadedState &disk = members_.at(name).disk_.synced_;
+            disk.memberId_ = founding.memberId_;
+            disk.snapshot_ = founding.snapshot_;
+            if (founding.snapshot_)
+                disk.hardState_.cluster_ = founding.snapshot_->cluster_;
             boot(name);
         }
     }
@@ -270,6 +270,18 @@
         return found;
     }
 
+    /// @brief Returns the names of the voters according to the leader, sorted. There must be one.
+    std::vector<std::string> voterNames()
+    {
+        std::vector<std::string> names;
+        for (const Member &item : members(member(leader()).state_.consensus_)) {
+            if (item.voter_)
+                names.push_back(item.name_);
+        }
+        std::sort(names.begin(), names.end());
+        return names;
+    }
+
     std::map<std::uint64_t, Outcome> answers_; ///< outcomes of proposals by token
     std::map<std::uint64_t, std::string> answerLeaders_; ///< AnswerProposal::leader_ by token
     std::map<std::uint64_t, bool> readResults_; ///< AnswerRead::ok_ by token
--- a/packages/decision/tests/unit-open_membership.cpp
+++ b/packages/decision/tests/unit-open_membership.cpp
@@ -10,17 +10,6 @@
 using namespace chervilspring;
 namespace data = boost::unit_test::data;
 
-std::vector<std::string> voterNames(ControlGroup &group)
-{
-    std::vector<std::string> names;
-    for (const Member &member : members(group.member(group.leader()).state_.consensus_)) {
-        if (member.voter_)
-            names.push_back(member.name_);
-    }
-    std::sort(names.begin(), names.end());
-    return names;
-}
-
 ApplyDocument document(std::uint64_t version, const std::string &text)
 {
     ApplyDocument command;
@@ -35,7 +24,7 @@
     group.restartWithSeeds({"c1", "c2", "c3"});
     group.run(seconds(5));
     BOOST_REQUIRE(!group.leader().empty());
-    BOOST_TEST(voterNames(group).size() == 5u);
+    BOOST_TEST(group.voterNames().size() == 5u);
 }
 
 // A member's VM is lost for good. A replacement starts at a new address with a blank disk, and its
@@ -53,7 +42,7 @@
     group.run(seconds(2));
     group.addProcess("c4", {lost, "c1", "c2"});
     group.run(milliseconds(3500));
-    const auto names = voterNames(group);
+    const auto names = group.voterNames();
     BOOST_TEST(names.size() == 3u);
     BOOST_TEST(std::count(names.begin(), names.end(), "c4") == 1);
     BOOST_TEST(std::count(names.begin(), names.end(), lost) == 0);
@@ -71,10 +60,10 @@
     group.run(seconds(4));
     group.addProcess("c4", {"c1", "c2", "c3"});
     group.run(seconds(2));
-    BOOST_TEST(voterNames(group).size() == 4u);
+    BOOST_TEST(group.voterNames().size() == 4u);
     group.crash("c2");
     group.run(seconds(4));
-    BOOST_TEST(voterNames(group).size() == 3u);
+    BOOST_TEST(group.voterNames().size() == 3u);
 }
 
 struct LostDiskRow
@@ -105,7 +94,7 @@
     ControlGroup group(row.size_, static_cast<std::uint64_t>(seed));
     group.restartWithSeeds({"c1", "c2", "c3"});
     group.run(seconds(5));
-    BOOST_REQUIRE(voterNames(group).size() == static_cast<std::size_t>(row.size_));
+    BOOST_REQUIRE(group.voterNames().size() == static_cast<std::size_t>(row.size_));
     std::vector<std::string> others = group.names();
     std::erase(others, group.leader());
     for (int i = 0; i < row.silent_; ++i) {
--- a/packages/storage/src/disk_log.cpp
+++ b/packages/storage/src/disk_log.cpp
@@ -261,10 +261,10 @@
         std::filesystem::remove(folder / (std::string(name) + temporarySuffix), error);
     LoadedState state;
     if (!std::filesystem::exists(folder / "member")) {
-        // The id comes last: a folder with the id of a founding member has its snapshot, too.
-        if (founding) {
-            log.hardState_.cluster_ = founding->snapshot_.cluster_;
-            BOOST_LEAF_CHECK(log.storeSnapshot(founding->snapshot_, OnFullDisk::Wait));
+        // The id comes last: a folder with the id of one of the first voters has its snapshot, too.
+        if (founding && founding->snapshot_) {
+            log.hardState_.cluster_ = founding->snapshot_->cluster_;
+            BOOST_LEAF_CHECK(log.storeSnapshot(*founding->snapshot_, OnFullDisk::Wait));
         }
         std::string id;
         put(id, founding ? founding->memberId_ : randomId());
--- a/packages/storage/tests/unit-disk_log.cpp
+++ b/packages/storage/tests/unit-disk_log.cpp
@@ -130,9 +130,10 @@
     const TemporaryFolder folder("founding");
     FoundingState founding;
     founding.memberId_ = 77;
-    founding.snapshot_.cluster_ = 5;
-    founding.snapshot_.lastIndex_ = 1;
-    founding.snapshot_.members_ = {Member{77, "c1", true}, Member{78, "c2", true}};
+    founding.snapshot_.emplace();
+    founding.snapshot_->cluster_ = 5;
+    founding.snapshot_->lastIndex_ = 1;
+    founding.snapshot_->members_ = {Member{77, "c1", true}, Member{78, "c2", true}};
     const auto open = [&](bool isFounding) {
         LoadedState loaded;
         handleErrors(
--- a/packages/wire/schema/fleet.capnp
+++ b/packages/wire/schema/fleet.capnp
@@ -527,6 +527,7 @@
   documentVersion @9 :UInt64;
   document @10 :Data;
   departures @11 :List(Departure);
+  foundingMembers @12 :UInt32;
 }
 
 struct InstallSnapshot {
