A stopping leader offers the leadership again

Callers of the control processes would see: no leader for 2 s, and a leader that ends without a successor, if a voter crashes just before the leader is stopped.

Cause: the leader offered the leadership once, to the voter with the longest log. A voter that has just crashed has it, too. Now it offers it to the voter that it heard last, and again after an election timeout.

--- a/packages/decision/include/chervilspring/detail/control/consensus.hpp
+++ b/packages/decision/include/chervilspring/detail/control/consensus.hpp
@@ -111,6 +111,7 @@
     std::map<std::string, Instant> joinTimes_; ///< when each Join of joins_ was stored, by name
     std::string leaderHint_; ///< name of the leader according to another process; may be empty
     bool transferringLeadership_ = false; ///< true: the leader refuses new commands
+    Instant transferStartedAt_{}; ///< when the leadership was last offered to a voter
     /// The process is about to end: it refuses new commands and stands for no election.
     bool stopping_ = false;
     std::mt19937_64 randomEngine_; ///< generates the random election timeouts
@@ -200,11 +201,14 @@
 void sendSnapshot(ConsensusState &state, Instant now, std::uint64_t member, Snapshot snapshot,
                   ConsensusOutput &output);
 
-/// @brief Transfers the leadership to the voter with the longest log.
+/// @brief Offers the leadership to the voter with the complete log that was heard last.
+///
+/// If that voter doesn't take it, because it has just failed, a later call offers it to another.
 /// @param state the state
+/// @param now local time
 /// @param output receives the requested work
 /// @return false if this member isn't the leader or no other voter has the complete log
-bool transferLeadership(ConsensusState &state, ConsensusOutput &output);
+bool transferLeadership(ConsensusState &state, Instant now, ConsensusOutput &output);
 
 /// @brief Gives up the leadership and fails pending reads, if this member is the leader.
 /// @param state the state
--- a/packages/decision/src/control/consensus.cpp
+++ b/packages/decision/src/control/consensus.cpp
@@ -111,7 +111,8 @@
     const auto plan = planMembership(state, now);
     if (!plan)
         return;
-    append(state, now, wall, ChangeMembers{plan->members_}, output);
+    if (!append(state, now, wall, ChangeMembers{plan->members_}, output))
+        return;
     addDecisionLine(output, state,
                     "membership=" + plan->reason_ + " voters=" + std::to_string(voterCount(state))
                         + " group_size=" + std::to_string(groupSize(state)));
@@ -361,7 +362,7 @@
     sendNow(state, member, std::move(install), output);
 }
 
-bool transferLeadership(ConsensusState &state, ConsensusOutput &output)
+bool transferLeadership(ConsensusState &state, Instant now, ConsensusOutput &output)
 {
     if (state.role_ != MemberRole::Leader)
         return false;
@@ -371,15 +372,18 @@
         if (!member.voter_ || member.id_ == state.settings_.self_.id_)
             continue;
         const Progress &progress = state.progress_[member.id_];
-        if (best && progress.matchIndex_ <= best->matchIndex_)
+        if (progress.matchIndex_ < lastIndex(state))
+            continue;
+        if (best && progress.lastHeard_ <= best->lastHeard_)
             continue;
         best = &progress;
         target = member.id_;
     }
-    if (!best || best->matchIndex_ < lastIndex(state))
+    if (!best)
         return false;
     addDecisionLine(output, state, "transfer_to=" + memberText(state, target));
     state.transferringLeadership_ = true;
+    state.transferStartedAt_ = now;
     TimeoutNow request;
     request.cluster_ = state.hardState_.cluster_;
     request.term_ = state.hardState_.term_;
--- a/packages/decision/src/control/control.cpp
+++ b/packages/decision/src/control/control.cpp
@@ -543,9 +543,11 @@
     const bool isCommitted = log.commitIndex_ == lastIndex(log);
     const bool mayTransfer =
         isCommitted || now >= state.stopDeadline_ - stopTimeout + stopCommitTimeout;
-    if (mayTransfer && !log.transferringLeadership_) {
+    const bool isOffered = log.transferringLeadership_
+        && now - log.transferStartedAt_ < log.settings_.electionTimeout_;
+    if (mayTransfer && !isOffered) {
         ConsensusOutput output;
-        transferLeadership(log, output);
+        transferLeadership(log, now, output);
         processOutput(state, now, wall, std::move(output), effects);
     }
     return true;
--- a/packages/decision/tests/unit-consensus.cpp
+++ b/packages/decision/tests/unit-consensus.cpp
@@ -237,6 +237,21 @@
     BOOST_TEST((s.group_.now() - before <= milliseconds(200)));
 }
 
+// Guards against a stopping leader that offers the leadership to a process that has just crashed,
+// and to no other.
+BOOST_DATA_TEST_CASE(stopping_leader_offers_the_leadership_again,
+                     boost::unit_test::data::xrange(0, 2), crashed)
+{
+    StableGroup s(3);
+    const std::string old = s.group_.leader();
+    std::vector<std::string> others = s.group_.names();
+    std::erase(others, old);
+    s.group_.crash(others[static_cast<std::size_t>(crashed)]);
+    s.group_.handle(old, StopRequested{});
+    s.group_.run(milliseconds(1500));
+    BOOST_TEST(s.group_.leader() == others[static_cast<std::size_t>(1 - crashed)]);
+}
+
 struct FullDiskRow
 {
     const char *name_;
