A voter that stops and has a successor is removed before it ends

Callers of the control processes would see: a machine of three leaves as planned, its successor votes already; the next machine loses its disk within 1.5 s, and nothing can be read or changed any more.

Cause: a voter that had ended counted until its silence was noticed.

Now a stopping voter announces it. While there are more voters than the group's size, the leader removes it, and it acknowledges until then. Since it is no member any more, a leader answers its announcement to tell it so.

--- a/packages/core/include/chervilspring/messages.hpp
+++ b/packages/core/include/chervilspring/messages.hpp
@@ -572,8 +572,9 @@
     std::uint64_t cluster_ = 0; ///< cluster id; 0: blank disk
     Member member_; ///< id and name of the sender; voter_ is not used
     std::string leader_; ///< name of the leader that the sender follows; empty if unknown
+    bool stopping_ = false; ///< the sender is about to end
 };
-BOOST_DESCRIBE_STRUCT(Join, (), (cluster_, member_, leader_))
+BOOST_DESCRIBE_STRUCT(Join, (), (cluster_, member_, leader_, stopping_))
 
 /// @brief Part of a prompt that several requests may have in common.
 struct PromptPart
--- a/packages/decision/include/chervilspring/detail/control/consensus.hpp
+++ b/packages/decision/include/chervilspring/detail/control/consensus.hpp
@@ -114,6 +114,7 @@
     Instant transferStartedAt_{}; ///< when the leadership was last offered to a voter
     /// The process is about to end: it refuses new commands and stands for no election.
     bool stopping_ = false;
+    bool removed_ = false; ///< while stopping: a leader has said that this is no member any more
     std::mt19937_64 randomEngine_; ///< generates the random election timeouts
 };
 
--- a/packages/decision/src/control/consensus.cpp
+++ b/packages/decision/src/control/consensus.cpp
@@ -26,7 +26,8 @@
 
 Join ownJoin(const ConsensusState &state)
 {
-    return Join{state.hardState_.cluster_, state.settings_.self_, leaderName(state)};
+    return Join{state.hardState_.cluster_, state.settings_.self_, leaderName(state),
+                state.stopping_};
 }
 
 bool isMemberName(const ConsensusState &state, const std::string &name)
@@ -36,6 +37,12 @@
                        [&](const Member &member) { return member.name_ == name; });
 }
 
+// Tells whether this leader knows that the member list in force stays.
+bool areMembersCommitted(const ConsensusState &state)
+{
+    return leads(state) && state.memberLists_.back().index_ <= state.commitIndex_;
+}
+
 void onJoin(ConsensusState &state, Instant now, const std::string &from, const Join &join,
             ConsensusOutput &output)
 {
@@ -46,9 +53,13 @@
         state.leaderHint_ = join.leader_;
     // A joining process may know only a few seeds, none of which has to be the leader: tell it
     // who leads.
-    const bool isJoining = !isMemberName(state, from);
+    const bool isJoining = !join.stopping_ && !isMemberName(state, from);
     if (isJoining && state.role_ != MemberRole::Leader && !leaderName(state).empty())
         output.messages_.emplace_back(from, ownJoin(state));
+    // A member that stops isn't sent the change that removes it. A leader sends no other Join.
+    if (join.stopping_ && !findMember(state, join.member_.id_) && areMembersCommitted(state))
+        output.messages_.emplace_back(from, ownJoin(state));
+    state.removed_ = state.removed_ || (state.stopping_ && join.leader_ == from);
 }
 
 std::set<std::string> joinTargets(const ConsensusState &state)
--- a/packages/decision/src/control/control.cpp
+++ b/packages/decision/src/control/control.cpp
@@ -1,5 +1,6 @@
 #include "chervilspring/detail/control/control.hpp"
 
+#include "chervilspring/detail/control/membership.hpp"
 #include "chervilspring/memory_size.hpp"
 
 #include <algorithm>
@@ -12,6 +13,8 @@
 constexpr nanoseconds proposalRetryInterval = seconds(1);
 constexpr nanoseconds suspectLifetime = seconds(60); // long enough for several upstream restarts
 constexpr auto stopTimeout = seconds(2);
+// A stopping voter waits so long for its removal if it has a successor; there may be no leader yet.
+constexpr auto removalTimeout = seconds(5);
 // A stopping leader hands over before its entries are committed if they take longer than this.
 constexpr auto stopCommitTimeout = seconds(1);
 constexpr nanoseconds shareLease = seconds(10); // longer than a leader change takes
@@ -553,9 +556,22 @@
     return true;
 }
 
+// Whether the leader may be about to remove this process, which stops, from the voters. Until then
+// the process acknowledges entries: a group must not be left with a voter that is gone.
+bool awaitsRemoval(const ControlState &state, Instant now)
+{
+    const ConsensusState &log = state.consensus_;
+    const bool isVoter = log.role_ != MemberRole::Leader && log.role_ != MemberRole::Learner;
+    if (!log.settings_.openMembership_ || !isVoter || log.removed_)
+        return false;
+    return members(log).size() > groupSize(log)
+        && now < state.stopDeadline_ - stopTimeout + removalTimeout;
+}
+
 void stopWhenHandedOver(ControlState &state, Instant now, WallTime wall, ControlEffects &effects)
 {
-    if (state.stopDeadline_ == Instant{} || state.stopped_ || holdsStop(state, now, wall, effects))
+    if (state.stopDeadline_ == Instant{} || state.stopped_ || holdsStop(state, now, wall, effects)
+        || awaitsRemoval(state, now))
         return;
     ConsensusOutput output;
     stepDown(state.consensus_, now, "stop", output);
@@ -647,6 +663,7 @@
             [&](const StopRequested &) {
                 state.stopDeadline_ = now + stopTimeout;
                 state.consensus_.stopping_ = true;
+                state.consensus_.nextHeartbeat_ = now; // announces the stop at once
             },
             [&](const LocalAnnouncement &e) { onLocalAnnouncement(state, now, wall, e, effects); },
             [&](const SeedsChanged &e) { state.consensus_.settings_.controlNames_ = e.names_; },
--- a/packages/decision/src/control/membership.cpp
+++ b/packages/decision/src/control/membership.cpp
@@ -31,6 +31,14 @@
     return found != state.joins_.end() && found->second.member_.id_ != member.id_;
 }
 
+// Tells whether the process of a member has announced that it is about to end.
+bool isStopping(const ConsensusState &state, const Member &member)
+{
+    const auto found = state.joins_.find(member.name_);
+    return found != state.joins_.end() && found->second.member_.id_ == member.id_
+        && found->second.stopping_;
+}
+
 bool hasCaughtUp(const ConsensusState &state, const Member &member, Instant now)
 {
     const auto found = state.progress_.find(member.id_);
@@ -61,7 +69,7 @@
         const bool isRecent = now - state.joinTimes_.at(name) < maxJoinAge;
         const bool isOtherCluster =
             join.cluster_ != 0 && join.cluster_ != state.hardState_.cluster_;
-        if (!isRecent || isOtherCluster || findMember(state, join.member_.id_))
+        if (!isRecent || isOtherCluster || join.stopping_ || findMember(state, join.member_.id_))
             continue;
         std::vector<Member> list = members(state);
         std::erase_if(list, [&](const Member &old) { return !old.voter_ && old.name_ == name; });
@@ -89,7 +97,18 @@
         return nullptr;
     const auto &list = members(state);
     const auto found = std::find_if(list.begin(), list.end(), [&](const Member &member) {
-        return !member.voter_ && !isReplaced(state, member) && hasCaughtUp(state, member, now);
+        return !member.voter_ && !isReplaced(state, member) && !isStopping(state, member)
+            && hasCaughtUp(state, member, now);
+    });
+    return found == list.end() ? nullptr : &*found;
+}
+
+const Member *findStoppingVoter(const ConsensusState &state)
+{
+    const auto &list = members(state);
+    const auto found = std::find_if(list.begin(), list.end(), [&](const Member &member) {
+        return member.voter_ && member.id_ != state.settings_.self_.id_
+            && isStopping(state, member);
     });
     return found == list.end() ? nullptr : &*found;
 }
@@ -146,13 +165,11 @@
     return MembershipPlan{list, "promote name=" + learner.name_};
 }
 
-MembershipPlan planRemoval(const ConsensusState &state, const Member &lost)
+MembershipPlan planRemoval(const ConsensusState &state, const Member &member, const char *reason)
 {
     std::vector<Member> list = members(state);
-    std::erase(list, lost);
-    return MembershipPlan{list,
-                          "remove name=" + lost.name_ + " reason="
-                              + (isReplaced(state, lost) ? "disk_replaced" : "silent")};
+    std::erase(list, member);
+    return MembershipPlan{list, "remove name=" + member.name_ + " reason=" + reason};
 }
 
 } // namespace
@@ -163,16 +180,20 @@
         return std::nullopt;
     const std::size_t voters = voterCount(state);
     const std::size_t size = groupSize(state);
-    const Member *lost = findLostVoter(state, now);
-    const bool mayRemove = lost && voters > 2;
-    if (mayRemove && (isReplaced(state, *lost) || voters > size))
-        return planRemoval(state, *lost);
+    const Member *lost = voters > 2 ? findLostVoter(state, now) : nullptr;
+    if (lost && isReplaced(state, *lost))
+        return planRemoval(state, *lost, "disk_replaced");
+    const Member *stopping = findStoppingVoter(state);
+    if (stopping && voters > size)
+        return planRemoval(state, *stopping, "stopping");
+    if (lost && voters > size)
+        return planRemoval(state, *lost, "silent");
     const Member *learner = findReadyLearner(state, now);
     const bool canPromote = learner && canPromoteLearner(state, *learner, now);
     if (canPromote && voters < size)
         return planPromotion(state, *learner);
-    if (mayRemove && learner)
-        return planRemoval(state, *lost);
+    if (lost && learner)
+        return planRemoval(state, *lost, "silent");
     if (canPromote)
         return planPromotion(state, *learner);
     return addLearner(state, now);
--- a/packages/decision/tests/control_group.hpp
+++ b/packages/decision/tests/control_group.hpp
@@ -136,6 +136,22 @@
         std::erase_if(messages_, [&](const GroupMessage &m) { return m.to_ == name; });
     }
 
+    /// @brief Starts a process with other seeds than before.
+    void boot(const std::string &name, const std::vector<std::string> &seeds)
+    {
+        seeds_[name] = seeds;
+        boot(name);
+    }
+
+    /// @brief Asks a process to stop, and ends it as soon as it is ready to.
+    void stop(const std::string &name)
+    {
+        stopped_.erase(name);
+        handle(name, StopRequested{});
+        BOOST_TEST(runUntil(seconds(5), [&] { return stopped_.contains(name); }));
+        crash(name);
+    }
+
     /// @brief Stops a process and replaces its disk by a blank one.
     void replaceDisk(const std::string &name)
     {
--- a/packages/wire/schema/fleet.capnp
+++ b/packages/wire/schema/fleet.capnp
@@ -547,6 +547,7 @@
   cluster @0 :UInt64;
   member @1 :Member;
   leader @2 :Text;
+  stopping @3 :Bool;
 }
 
 struct Departure {
