Keys are needed although no client account is left

Cause: an empty list of tenants and an absent one were the same empty list of accounts, and without accounts requests need no key.

The configuration now says whether it names accounts. A request without a key has no account either, also if a tenant has the empty key.

--- a/packages/core/include/chervilspring/fleet.hpp
+++ b/packages/core/include/chervilspring/fleet.hpp
@@ -175,9 +175,12 @@
     std::vector<Policy> policies_;
     std::vector<RouteSpec> routes_;
     CallerLimits limits_;
+    /// Requests on routes that aren't open need a key of one of accounts_, also if there is none.
+    bool needsKey_ = false;
 };
 BOOST_DESCRIBE_STRUCT(Fleet, (),
-                      (retention_, pipelines_, pools_, accounts_, policies_, routes_, limits_))
+                      (retention_, pipelines_, pools_, accounts_, policies_, routes_, limits_,
+                       needsKey_))
 
 /// @brief Parses a fleet file.
 /// @param text content of the INI file
--- a/packages/core/tests/unit-fleet_blocks.cpp
+++ b/packages/core/tests/unit-fleet_blocks.cpp
@@ -20,6 +20,7 @@
     Fleet fleet;
     fleet.retention_ = seconds(77);
     fleet.limits_.bodyBytes_ = 1234;
+    fleet.needsKey_ = true;
     fleet.pools_.push_back(Pool{"book", "service=book", {}, 100, {}, EngineCapacity{4, 5}, 0.5});
     fleet.accounts_.push_back(Account{"shop", {Label{"a", "b"}}, {}, {}, 1, 2, {"digest"}, 3});
     for (int i = 0; i < routes; ++i) {
--- a/packages/decision/include/chervilspring/detail/direct/route_table.hpp
+++ b/packages/decision/include/chervilspring/detail/direct/route_table.hpp
@@ -31,6 +31,9 @@
 /// @return the host's route with the longest matching path prefix, or nullptr
 const RouteSpec *findRoute(const RouteTable &table, std::string_view host, std::string_view path);
 
+/// @brief Tells whether a request on a route needs the key of an account.
+bool needsKey(const RouteTable &table, const RouteSpec &route);
+
 /// @brief Finds the account that a key belongs to.
 /// @param key API key as the caller sent it
 /// @return the account, or nullptr
--- a/packages/decision/src/direct/direct.cpp
+++ b/packages/decision/src/direct/direct.cpp
@@ -40,7 +40,7 @@
         return;
     }
     const Account *account = findAccount(*state.table_, call.credential_);
-    if (!account && !route->open_ && !state.table_->view_->fleet_.accounts_.empty()) {
+    if (!account && needsKey(*state.table_, *route)) {
         refuseUnrouted(call, statusUnauthorized, nanoseconds(0), EndReason{"bad_credential"}, state,
                        effects);
         return;
--- a/packages/decision/src/direct/route_table.cpp
+++ b/packages/decision/src/direct/route_table.cpp
@@ -42,8 +42,17 @@
     return nullptr;
 }
 
+bool needsKey(const RouteTable &table, const RouteSpec &route)
+{
+    const Fleet &fleet = table.view_->fleet_;
+    // Configurations stored by older versions have accounts, but not the flag.
+    return !route.open_ && (fleet.needsKey_ || !fleet.accounts_.empty());
+}
+
 const Account *findAccount(const RouteTable &table, std::string_view key)
 {
+    if (key.empty()) // the request has none, whatever keys accounts have
+        return nullptr;
     const auto found = table.accountsByKeyDigest_.find(credentialDigest({}, key));
     return found == table.accountsByKeyDigest_.end() ? nullptr : found->second;
 }
--- a/packages/decision/tests/unit-direct.cpp
+++ b/packages/decision/tests/unit-direct.cpp
@@ -389,6 +389,64 @@
     BOOST_TEST(refusals[0].status_ == row.status_);
 }
 
+struct KeyRow
+{
+    const char *description_;
+    bool needsKey_; ///< Fleet::needsKey_
+    std::vector<std::string> keys_; ///< keys of the only account; empty: there is no account
+    const char *key_; ///< key of the caller; empty: none
+    bool refused_;
+};
+
+std::ostream &operator<<(std::ostream &stream, const KeyRow &row)
+{
+    return stream << row.description_;
+}
+
+const KeyRow keyTable[] = {
+    {"accounts were never configured", false, {}, "key", false},
+    {"accounts were never configured, no key", false, {}, "", false},
+    {"no account is left", true, {}, "key", true},
+    {"no account is left, no key", true, {}, "", true},
+    {"account", true, {"key"}, "key", false},
+    {"account, other key", true, {"key"}, "other", true},
+    {"account with an empty key, no key", true, {""}, "", true},
+};
+
+// Guards against requests that run without a valid key after the last account was removed, since an
+// empty list of accounts is taken for none.
+BOOST_DATA_TEST_CASE(keys_are_needed_although_no_account_is_left, data::make(keyTable), row)
+{
+    DirectFixture fixture;
+    auto view = std::make_shared<View>(*testView(2, milliseconds(2000)));
+    ++view->version_;
+    view->fleet_.needsKey_ = row.needsKey_;
+    view->fleet_.accounts_.clear();
+    if (!row.keys_.empty()) {
+        Account account;
+        account.name_ = "shop";
+        for (const std::string &key : row.keys_)
+            account.keyDigests_.push_back(credentialDigest({}, key));
+        view->fleet_.accounts_ = {account};
+    }
+    ViewChanged change;
+    change.view_ = view;
+    change.share_ = wholeShare;
+    change.shareExpires_ = fixture.now_ + seconds(1000);
+    fixture.handle(change);
+    DirectCall call;
+    call.token_ = 5;
+    call.id_ = "id";
+    call.host_ = "host";
+    call.path_ = "/safe/x";
+    call.credential_ = row.key_;
+    call.callerTimeout_ = seconds(1);
+    const auto refusals = effectsOf<RefuseCall>(fixture.handle(call));
+    BOOST_TEST(refusals.empty() != row.refused_);
+    for (const RefuseCall &refusal : refusals)
+        BOOST_TEST(refusal.status_ == 401u);
+}
+
 struct PieceCountRow
 {
     std::vector<std::uint32_t> counts_;
--- a/packages/wire/schema/fleet.capnp
+++ b/packages/wire/schema/fleet.capnp
@@ -162,6 +162,7 @@
   policies @4 :List(Policy);
   routes @5 :List(RouteSpec);
   limits @6 :CallerLimits;
+  needsKey @7 :Bool;
 }
 
 struct RequestId {
