A departure counts for starts that aren't known yet

Cause: a departure doesn't name its start, and was taken for one of the listed start. A newer one, whose announcements were still held up, had sent it.

The choice moves from the platform's adapter to the leader's reducer. A departure now counts for any start until it arrives. The reducer lists an upstream that goes on again, as before.

--- a/packages/core/include/chervilspring/messages.hpp
+++ b/packages/core/include/chervilspring/messages.hpp
@@ -277,7 +277,9 @@
 {
     std::string name_;
     std::uint64_t agentBoot_ = 0; ///< boot id of the upstream to remove
-    bool departed_ = false; ///< it announced its departure; ignore announcements of this boot id
+    /// It announced its departure: earlier starts are removed, too, and announcements of all of them
+    /// are ignored.
+    bool departed_ = false;
 };
 BOOST_DESCRIBE_STRUCT(RemoveUpstream, (), (name_, agentBoot_, departed_))
 
--- a/packages/core/include/chervilspring/upstream.hpp
+++ b/packages/core/include/chervilspring/upstream.hpp
@@ -97,6 +97,9 @@
 /// is an IP address, not a name.
 bool hasUsableAddress(const Upstream &upstream);
 
+/// @brief Returns the boot id of a direct upstream that starts at a time.
+std::uint64_t bootIdOfStart(WallTime time);
+
 /// @brief Tells whether an upstream can take new work.
 /// @param upstream the upstream
 /// @return true if it is in phase Serving, not drained, and its address is usable
--- a/packages/core/src/upstream.cpp
+++ b/packages/core/src/upstream.cpp
@@ -84,6 +84,11 @@
     return inet_pton(AF_INET, text, &address) == 1 || inet_pton(AF_INET6, text, &address) == 1;
 }
 
+std::uint64_t bootIdOfStart(WallTime time)
+{
+    return static_cast<std::uint64_t>(std::max<std::int64_t>(0, time.time_since_epoch().count()));
+}
+
 bool takesNewWork(const Upstream &upstream)
 {
     return upstream.phase_ == UpstreamPhase::Serving && !upstream.drained_
--- a/packages/decision/include/chervilspring/detail/control/control.hpp
+++ b/packages/decision/include/chervilspring/detail/control/control.hpp
@@ -39,6 +39,14 @@
 };
 BOOST_DESCRIBE_STRUCT(LocalAnnouncement, (), (token_, upstream_))
 
+/// @brief A direct upstream says to this process that it leaves. It doesn't name its start.
+struct LocalDeparture
+{
+    std::uint64_t token_ = 0; ///< returned with the answer
+    std::string upstream_; ///< name
+};
+BOOST_DESCRIBE_STRUCT(LocalDeparture, (), (token_, upstream_))
+
 /// @brief The settings now list other control processes.
 struct SeedsChanged
 {
@@ -46,13 +54,14 @@
 };
 BOOST_DESCRIBE_STRUCT(SeedsChanged, (), (names_))
 
-using ControlEvent = std::variant<PeerMessage, PeerLost, BatchSynced, LocalProposal, LocalRead,
-                                  Wake, StopRequested, LocalAnnouncement, SeedsChanged>;
+using ControlEvent =
+    std::variant<PeerMessage, PeerLost, BatchSynced, LocalProposal, LocalRead, Wake, StopRequested,
+                 LocalAnnouncement, LocalDeparture, SeedsChanged>;
 
-/// @brief Requests an answer to a LocalProposal or LocalAnnouncement.
+/// @brief Requests an answer to a LocalProposal, LocalAnnouncement or LocalDeparture.
 struct AnswerProposal
 {
-    std::uint64_t token_ = 0; ///< token of the LocalProposal or LocalAnnouncement
+    std::uint64_t token_ = 0; ///< token of the event
     Outcome outcome_;
     std::string leader_; ///< name of the leader, which the caller can retry at; may be empty
 };
--- a/packages/decision/src/control/control.cpp
+++ b/packages/decision/src/control/control.cpp
@@ -389,6 +389,33 @@
     propose(state, now, wall, AnnounceUpstream{upstream, returned}, waiter, effects);
 }
 
+// Returns the boot id of the newest start that a departure received now can belong to. A start that
+// is newer than the listed one may have sent it, since its announcements may be delayed. So this is
+// any start until now, and any that is known.
+std::uint64_t departedBoot(const ControlState &state, WallTime wall, const std::string &name)
+{
+    std::uint64_t boot = bootIdOfStart(std::max(wall, state.fleet_.time_));
+    if (const Upstream *listed = findByName(state.fleet_.view_.upstreams_, name))
+        boot = std::max(boot, listed->agentBoot_);
+    return boot;
+}
+
+void onLocalDeparture(ControlState &state, Instant now, WallTime wall, const LocalDeparture &event,
+                      ControlEffects &effects)
+{
+    const Waiter waiter{0, "", event.token_};
+    if (!leads(state.consensus_)) {
+        sendAnswer(state, waiter, Outcome{OutcomeKind::NotLeader, 0, {}, std::nullopt}, effects);
+        return;
+    }
+    const std::uint64_t boot = departedBoot(state, wall, event.upstream_);
+    const Upstream *listed = findByName(state.fleet_.view_.upstreams_, event.upstream_);
+    effects.push_back(DecisionLine{
+        "decision=membership upstream=" + event.upstream_ + " boot=" + std::to_string(boot)
+        + " phase=Gone reason=departed listed=" + (listed ? "true" : "false")});
+    propose(state, now, wall, RemoveUpstream{event.upstream_, boot, true}, waiter, effects);
+}
+
 std::uint32_t sumOtherShares(const ControlState &state, Instant now, const std::string &self)
 {
     std::uint32_t sum = 0;
@@ -666,6 +693,7 @@
                 state.consensus_.nextHeartbeat_ = now; // announces the stop at once
             },
             [&](const LocalAnnouncement &e) { onLocalAnnouncement(state, now, wall, e, effects); },
+            [&](const LocalDeparture &e) { onLocalDeparture(state, now, wall, e, effects); },
             [&](const SeedsChanged &e) { state.consensus_.settings_.controlNames_ = e.names_; },
         },
         event);
--- a/packages/decision/src/control/fleet_state.cpp
+++ b/packages/decision/src/control/fleet_state.cpp
@@ -284,7 +284,10 @@
         recordDeparture(state, command.name_, command.agentBoot_);
     Upstream *upstream = findUpstream(state, command.name_);
     const bool present = upstream && upstream->phase_ != UpstreamPhase::Gone;
-    if (!present || upstream->agentBoot_ != command.agentBoot_)
+    const bool isMeant = present
+        && (command.departed_ ? upstream->agentBoot_ <= command.agentBoot_
+                              : upstream->agentBoot_ == command.agentBoot_);
+    if (!isMeant)
         return outcome(OutcomeKind::NotFound, entry.index_);
     if (upstream->drained_ || !upstream->operatorLabels_.empty())
         upstream->phase_ = UpstreamPhase::Gone;
--- a/packages/server/include/chervilspring/detail/process/control_thread.hpp
+++ b/packages/server/include/chervilspring/detail/process/control_thread.hpp
@@ -56,6 +56,11 @@
     /// @param done called with the outcome once the log holds the announcement
     void announce(const Upstream &upstream, std::function<void(const AnswerProposal &)> done);
 
+    /// @brief Handles the departure of a direct upstream. To be called like propose().
+    /// @param upstream name of the upstream
+    /// @param done called with the outcome once the log holds the departure
+    void depart(const std::string &upstream, std::function<void(const AnswerProposal &)> done);
+
     /// @brief Confirms that fleet() is up to date (linearizable read). To be called like propose().
     /// @param done called with the outcome; if it is positive, done may read fleet()
     void read(std::function<void(const AnswerRead &)> done);
--- a/packages/server/src/control_thread.cpp
+++ b/packages/server/src/control_thread.cpp
@@ -229,6 +229,14 @@
     handle(LocalAnnouncement{token, upstream});
 }
 
+void ControlThread::depart(const std::string &upstream,
+                           std::function<void(const AnswerProposal &)> done)
+{
+    const std::uint64_t token = nextToken_++;
+    proposals_[token] = std::move(done);
+    handle(LocalDeparture{token, upstream});
+}
+
 void ControlThread::read(std::function<void(const AnswerRead &)> done)
 {
     const std::uint64_t token = nextToken_++;
