Upstreams stay listed when all control processes restart

Found with the orders of departures, not seen on a real fleet.

Cause: a leader is elected before it has applied the log. Upstreams that it found there later had no lease, which counted as an expired one. They get a full lease now.

decision:upstreams_stay_listed_when_all_control_processes_restart failed before.

--- a/packages/decision/src/control/control.cpp
+++ b/packages/decision/src/control/control.cpp
@@ -533,9 +533,15 @@
     for (const Upstream &upstream : state.fleet_.view_.upstreams_) {
         if (upstream.phase_ == UpstreamPhase::Gone || !leads(state.consensus_))
             continue;
-        const auto node = state.nodes_.find(upstream.name_);
-        const bool hasExpired = node == state.nodes_.end() || now - node->second.lastHeard_ > lease;
-        if (!hasExpired)
+        // A leader may be elected before it has applied the log: upstreams that it finds there later
+        // get a full lease, too.
+        const auto [node, isNew] = state.nodes_.try_emplace(upstream.name_);
+        if (isNew) {
+            node->second.lastHeard_ = now;
+            node->second.isAgent_ = true;
+            node->second.agentBoot_ = upstream.agentBoot_;
+        }
+        if (now - node->second.lastHeard_ <= lease)
             continue;
         // An upstream that is leaving will not return: ignore what it announced before.
         const bool departed = upstream.direct_ && upstream.phase_ == UpstreamPhase::Leaving;
--- a/packages/decision/tests/unit-open_membership.cpp
+++ b/packages/decision/tests/unit-open_membership.cpp
@@ -353,6 +353,30 @@
     BOOST_TEST(fleet.view_.upstreams_.size() == 1u);
 }
 
+// Guards against upstreams that are removed when all control processes restart: the next leader is
+// elected before it has applied the log, and knows no lease of those that it finds there.
+BOOST_AUTO_TEST_CASE(upstreams_stay_listed_when_all_control_processes_restart)
+{
+    ControlGroup group(3, 9);
+    group.restartWithSeeds({"c1", "c2", "c3"});
+    group.run(seconds(4));
+    group.handle(group.leader(), LocalAnnouncement{900, directUpstream("a", 100, 1)});
+    group.run(milliseconds(200));
+    for (const std::string &name : group.names())
+        group.crash(name);
+    for (const std::string &name : group.names())
+        group.boot(name);
+    BOOST_REQUIRE(group.runUntil(seconds(4), [&] {
+        return !group.leader().empty() && leads(group.member(group.leader()).state_.consensus_);
+    }));
+    const FleetState &fleet = group.member(group.leader()).state_.fleet_;
+    BOOST_TEST(fleet.view_.upstreams_.size() == 1u);
+    group.run(seconds(2)); // less than the lease
+    BOOST_TEST(fleet.view_.upstreams_.size() == 1u);
+    group.run(seconds(2));
+    BOOST_TEST(fleet.view_.upstreams_.empty());
+}
+
 // What an upstream does at a time after its departure.
 struct AfterDeparture
 {
