--- a/packages/decision/include/chervilspring/detail/control/membership.hpp
+++ b/packages/decision/include/chervilspring/detail/control/membership.hpp
@@ -15,9 +15,10 @@
 
 /// @brief Plans the next membership change of the leader.
 ///
-/// A change adds a learner, promotes a learner that has caught up, or removes a lost voter.
+/// A change adds a learner, promotes a learner that has caught up, or removes a voter.
 ///
 /// - A voter that has lost its disk is removed at once.
+/// - A voter that has announced that it stops is removed if there are more voters than groupSize().
 /// - A silent voter may return with its disk. It is removed only if there are more voters than
 ///   groupSize(), or if a learner is ready that can't be promoted in addition.
 /// - A learner is promoted only while the other voters form a quorum without it: a process that
--- a/packages/storage/tests/unit-disk_log.cpp
+++ b/packages/storage/tests/unit-disk_log.cpp
@@ -157,6 +157,27 @@
     BOOST_TEST(loaded.snapshot_->members_.size() == 2u);
 }
 
+// A process of the first start that isn't among the first voters keeps the id that tells so.
+BOOST_AUTO_TEST_CASE(founding_member_without_a_snapshot_keeps_its_id)
+{
+    const TemporaryFolder folder("founding-id");
+    const FoundingState founding{77, std::nullopt};
+    for (const bool isFirstStart : {true, false}) {
+        handleErrors(
+            [&]() -> leaf::result<void> {
+                BOOST_LEAF_AUTO(
+                    opened,
+                    DiskLog::open(folder.path_, systemDiskCalls(),
+                                  isFirstStart ? std::optional(founding) : std::nullopt));
+                BOOST_TEST(opened.second.memberId_ == 77u);
+                BOOST_TEST(opened.second.hardState_.cluster_ == 0u);
+                BOOST_TEST(!opened.second.snapshot_);
+                return {};
+            },
+            [](const Error &error) { BOOST_ERROR(toString(error)); });
+    }
+}
+
 BOOST_AUTO_TEST_CASE(snapshot_replaces_entries)
 {
     const TemporaryFolder folder("snapshot");
