--- a/packages/core/include/chervilspring/messages.hpp
+++ b/packages/core/include/chervilspring/messages.hpp
@@ -277,8 +277,8 @@
 {
     std::string name_;
     std::uint64_t agentBoot_ = 0; ///< boot id of the upstream to remove
-    /// It announced its departure: earlier starts are removed, too, and announcements of all of them
-    /// are ignored.
+    /// It announced its departure: earlier starts are removed, too, and announcements of all of
+    /// them are ignored.
     bool departed_ = false;
 };
 BOOST_DESCRIBE_STRUCT(RemoveUpstream, (), (name_, agentBoot_, departed_))
--- a/packages/decision/src/control/control.cpp
+++ b/packages/decision/src/control/control.cpp
@@ -533,8 +533,8 @@
     for (const Upstream &upstream : state.fleet_.view_.upstreams_) {
         if (upstream.phase_ == UpstreamPhase::Gone || !leads(state.consensus_))
             continue;
-        // A leader may be elected before it has applied the log: upstreams that it finds there later
-        // get a full lease, too.
+        // A leader may be elected before it has applied the log: upstreams that it finds there
+        // later get a full lease, too.
         const auto [node, isNew] = state.nodes_.try_emplace(upstream.name_);
         if (isNew) {
             node->second.lastHeard_ = now;
