A crash counts once against a request

Callers of a sound request got 503 for a minute after a single crash: when several copies of it ran at the upstream that crashed, each copy was reported, and three reports refuse a request. A report that was sent again after a change of leader counted twice as well.

Cause: ReportCrash named the upstream, not its start, so reports couldn't be told apart. It names the boot id now, and a suspect keeps the ids of its newest eight crashes. That is the report's operation id: it needs no other one, and copies at several entries have the same.

Reports without a boot id, as agents send them, each count as before.

--- a/packages/core/include/chervilspring/messages.hpp
+++ b/packages/core/include/chervilspring/messages.hpp
@@ -297,8 +297,11 @@
     std::uint64_t digest_ = 0; ///< digest of account, pipeline and body
     std::string upstream_; ///< name of the upstream that crashed
     bool alone_ = false; ///< no other request ran at the upstream when it crashed
+    /// Boot id of the upstream before the crash. Reports with the same one are about the same
+    /// crash. 0: not known, each report counts.
+    std::uint64_t boot_ = 0;
 };
-BOOST_DESCRIBE_STRUCT(ReportCrash, (), (digest_, upstream_, alone_))
+BOOST_DESCRIBE_STRUCT(ReportCrash, (), (digest_, upstream_, alone_, boot_))
 
 /// @brief Clears a suspect that ran alone to its end or was followed by no further crash.
 struct ClearSuspect
--- a/packages/core/include/chervilspring/upstream.hpp
+++ b/packages/core/include/chervilspring/upstream.hpp
@@ -45,8 +45,10 @@
     std::uint64_t digest_ = 0; ///< digest of account, pipeline and body
     std::uint32_t crashes_ = 0; ///< number of crashes while it ran
     bool refused_ = false; ///< entries refuse the request body
+    /// Ids of the newest of these crashes, oldest first: digests of upstream and boot id.
+    std::vector<std::uint64_t> crashIds_;
 };
-BOOST_DESCRIBE_STRUCT(Suspect, (), (digest_, crashes_, refused_))
+BOOST_DESCRIBE_STRUCT(Suspect, (), (digest_, crashes_, refused_, crashIds_))
 
 /// @brief Prompt parts that crash model engines. Requests that have all of them are refused.
 struct Quarantine
--- a/packages/decision/src/control/fleet_state.cpp
+++ b/packages/decision/src/control/fleet_state.cpp
@@ -1,5 +1,7 @@
 #include "chervilspring/detail/control/fleet_state.hpp"
 
+#include "chervilspring/digest.hpp"
+
 #include <algorithm>
 #include <charconv>
 
@@ -10,6 +12,7 @@
 constexpr std::size_t maxStoredOperations = 4096;
 constexpr std::size_t maxViewChanges = 512;
 constexpr std::size_t maxSuspects = 256; // the one with the fewest crashes makes room
+constexpr std::size_t maxCrashIds = 8; // of a suspect
 constexpr std::size_t maxEvacuations = 1024;
 constexpr std::size_t maxQuarantines = 64; // the one with the fewest crashes makes room
 constexpr std::uint32_t refusalCrashCount = 2;
@@ -298,25 +301,49 @@
     return outcome(OutcomeKind::Accepted, entry.index_);
 }
 
-Outcome applyCommand(FleetState &state, const LogEntry &entry, const ReportCrash &command)
+// Finds a suspect, or adds it.
+Suspect &suspectOf(FleetState &state, std::uint64_t digest)
 {
     auto &suspects = state.view_.suspects_;
-    auto found = std::find_if(suspects.begin(), suspects.end(),
-                              [&](const Suspect &item) { return item.digest_ == command.digest_; });
-    if (found == suspects.end()) {
-        if (suspects.size() == maxSuspects)
-            suspects.erase(std::min_element(
-                suspects.begin(), suspects.end(), [](const Suspect &a, const Suspect &b) {
-                    return std::pair(a.refused_, a.crashes_) < std::pair(b.refused_, b.crashes_);
-                }));
-        suspects.push_back(Suspect{command.digest_, 0, false});
-        found = suspects.end() - 1;
+    const auto found = std::find_if(suspects.begin(), suspects.end(),
+                                    [&](const Suspect &item) { return item.digest_ == digest; });
+    if (found != suspects.end())
+        return *found;
+    if (suspects.size() == maxSuspects)
+        suspects.erase(std::min_element(
+            suspects.begin(), suspects.end(), [](const Suspect &a, const Suspect &b) {
+                return std::pair(a.refused_, a.crashes_) < std::pair(b.refused_, b.crashes_);
+            }));
+    Suspect added;
+    added.digest_ = digest;
+    return suspects.emplace_back(std::move(added));
+}
+
+// Adds the crash that a report is about to those of a suspect. Returns false if it is known
+// already: several copies of a request may run at an upstream that crashes, and each is reported.
+bool addCrash(Suspect &suspect, const ReportCrash &report)
+{
+    if (report.boot_ != 0) {
+        const std::uint64_t id =
+            contentDigest(report.upstream_ + "\n" + std::to_string(report.boot_));
+        auto &known = suspect.crashIds_;
+        if (std::find(known.begin(), known.end(), id) != known.end())
+            return false;
+        if (known.size() == maxCrashIds)
+            known.erase(known.begin());
+        known.push_back(id);
     }
-    ++found->crashes_;
+    ++suspect.crashes_;
     // A single crash may have been caused by the VM. Refuse the body from the second crash on, if
     // it was the only one running at that crash.
-    found->refused_ = found->refused_ || (command.alone_ && found->crashes_ >= refusalCrashCount);
-    recordChange(state, entry.index_, {}, false);
+    suspect.refused_ = suspect.refused_ || (report.alone_ && suspect.crashes_ >= refusalCrashCount);
+    return true;
+}
+
+Outcome applyCommand(FleetState &state, const LogEntry &entry, const ReportCrash &command)
+{
+    if (addCrash(suspectOf(state, command.digest_), command))
+        recordChange(state, entry.index_, {}, false);
     return outcome(OutcomeKind::Accepted, entry.index_);
 }
 
--- a/packages/decision/src/direct/direct_crashes.cpp
+++ b/packages/decision/src/direct/direct_crashes.cpp
@@ -49,8 +49,8 @@
     effects.push_back(DecisionLine{
         "decision=crash_checked upstream=" + run.upstream_ + " boot=" + std::to_string(run.boot_)
         + " digest=" + std::to_string(run.digest_) + " " + evidence + " reported_to=" + scheduler});
-    effects.push_back(
-        SubmitProposal{0, ReportCrash{run.digest_, run.upstream_, false}, reportTimeout});
+    effects.push_back(SubmitProposal{0, ReportCrash{run.digest_, run.upstream_, false, run.boot_},
+                                     reportTimeout});
     if (!run.report_)
         return;
     const ReportedCrash crash{*run.report_, run.endedAt_};
--- a/packages/decision/tests/unit-direct.cpp
+++ b/packages/decision/tests/unit-direct.cpp
@@ -712,6 +712,17 @@
     BOOST_TEST(effectsOf<SubmitProposal>(effects).size() == (row.withdrawn_ ? 1u : 0u));
 }
 
+// Guards against reports that can't be told from those about other crashes of the same upstream.
+BOOST_AUTO_TEST_CASE(crash_report_names_the_start_of_the_upstream)
+{
+    DirectFixture fixture;
+    const auto effects = fixture.handle(UpstreamProbed{BrokenRun{"plain-1", 7, 5, {}, {}}, false});
+    BOOST_REQUIRE(effectsOf<SubmitProposal>(effects).size() == 1u);
+    const auto report = std::get<ReportCrash>(effectsOf<SubmitProposal>(effects)[0].command_);
+    BOOST_TEST(report.upstream_ == "plain-1");
+    BOOST_TEST(report.boot_ == 7u);
+}
+
 // Crashes were forgotten if the control processes had no leader for three seconds.
 BOOST_AUTO_TEST_CASE(crash_reports_outlast_a_change_of_leader)
 {
--- a/packages/decision/tests/unit-fleet_state.cpp
+++ b/packages/decision/tests/unit-fleet_state.cpp
@@ -2,11 +2,14 @@
 #include "chervilspring/detail/control/fleet_state.hpp"
 #include "chervilspring/detail/node/node.hpp"
 
+#include <boost/test/data/monomorphic.hpp>
+#include <boost/test/data/test_case.hpp>
 #include <boost/test/unit_test.hpp>
 
 namespace {
 
 using namespace chervilspring;
+namespace data = boost::unit_test::data;
 
 // Applies commands as consecutive log entries.
 struct StateMachine
@@ -214,6 +217,40 @@
     BOOST_TEST(suspects.back().digest_ == 499u);
 }
 
+struct CrashReportRow
+{
+    const char *description_;
+    std::vector<ReportCrash> reports_; ///< in the order of their commits
+    std::uint32_t crashes_; ///< that are counted
+};
+
+std::ostream &operator<<(std::ostream &stream, const CrashReportRow &row)
+{
+    return stream << row.description_;
+}
+
+const CrashReportRow crashReportTable[] = {
+    {"copies at one upstream", {{1, "u", false, 7}, {1, "u", false, 7}, {1, "u", false, 7}}, 1},
+    {"a report that is sent again later",
+     {{1, "u", false, 7}, {1, "v", false, 7}, {1, "u", false, 7}},
+     2},
+    {"two starts of an upstream", {{1, "u", false, 7}, {1, "u", false, 8}}, 2},
+    {"unknown starts", {{1, "u", false, 0}, {1, "u", false, 0}}, 2},
+    {"other requests", {{1, "u", false, 7}, {2, "u", false, 7}, {2, "v", false, 7}}, 1},
+};
+
+// Guards against a sound request that is refused after a single crash, as several copies of it ran
+// at the upstream that crashed.
+BOOST_DATA_TEST_CASE(reports_of_the_same_crash_count_once, data::make(crashReportTable), row)
+{
+    StateMachine apply;
+    for (const ReportCrash &report : row.reports_) {
+        BOOST_TEST((apply(report).kind_ == OutcomeKind::Accepted));
+        apply.state_ = restoreFleetState(makeSnapshot(apply.state_));
+    }
+    BOOST_TEST(apply.state_.view_.suspects_.front().crashes_ == row.crashes_);
+}
+
 BOOST_AUTO_TEST_CASE(quarantines_are_replaced_removed_and_bounded)
 {
     StateMachine apply;
--- a/packages/wire/schema/fleet.capnp
+++ b/packages/wire/schema/fleet.capnp
@@ -197,6 +197,7 @@
   digest @0 :UInt64;
   crashes @1 :UInt32;
   refused @2 :Bool;
+  crashIds @3 :List(UInt64);
 }
 
 struct Quarantine {
@@ -378,6 +379,7 @@
   digest @0 :UInt64;
   upstream @1 :Text;
   alone @2 :Bool;
+  boot @3 :UInt64;
 }
 
 struct ClearSuspect {
