A request that has run well since a crash is not blamed for it

Callers of a sound request got 503 for seconds after other requests had crashed servers, if copies of it ran at three of them. With servers that hang for a second first, whole crowds run at a crash.

Cause: each run that a crash ended was reported. An entry knows better: if a run of the same request that began with the broken one or after it has ended well, the request is sound. It keeps the starts of such runs by digest, two periods of 10 s with at most 4,096 digests each, and reports nothing then. Suspects that a report leaves as they are aren't logged again.

--- a/packages/decision/include/chervilspring/detail/direct/direct.hpp
+++ b/packages/decision/include/chervilspring/detail/direct/direct.hpp
@@ -17,6 +17,7 @@
 #include <map>
 #include <random>
 #include <set>
+#include <unordered_map>
 
 namespace chervilspring {
 
@@ -98,6 +99,7 @@
     std::uint64_t digest_ = 0; ///< DirectRequest::digest_ of the request
     std::optional<RunCrashed> report_; ///< for the scheduler; set if the request was planned
     Instant endedAt_{};
+    Instant startedAt_{};
 };
 
 /// @brief Event: result of probing whether an upstream accepts connections after it broke one.
@@ -255,6 +257,15 @@
     Instant at_{}; ///< end of the run
 };
 
+/// @brief The newest runs that ended well, by request digest. Those of the last one or two periods
+/// are known, unless there are too many.
+struct SoundRuns
+{
+    std::unordered_map<std::uint64_t, Instant> starts_; ///< start of the newest one, by digest
+    std::unordered_map<std::uint64_t, Instant> earlierStarts_; ///< starts_ of the period before
+    Instant periodStart_{};
+};
+
 /// @brief A request that waits until it may run as a trial.
 struct AwaitedTrial
 {
@@ -278,6 +289,7 @@
     /// Limited number of the newest broken runs whose upstreams accept connections, oldest first.
     /// A new boot of the upstream will show that it has crashed.
     std::deque<BrokenRun> unexplainedBreaks_;
+    SoundRuns soundRuns_;
     std::map<std::uint64_t, AwaitedTrial> awaitedTrials_; ///< by digest of the requests
     Instant replanAt_ = Instant::max(); ///< when requests without a scheduler are planned again
     UpstreamTable upstreamStats_;
--- a/packages/decision/include/chervilspring/detail/direct/direct_steps.hpp
+++ b/packages/decision/include/chervilspring/detail/direct/direct_steps.hpp
@@ -148,6 +148,9 @@
 void checkForCrash(DirectState &state, Instant now, const DirectRequest &request,
                    const RunEnded &event, DirectEffects &effects);
 
+/// @brief Records that a run of a request has ended well.
+void recordSoundRun(DirectState &state, Instant now, const DirectRequest &request);
+
 /// @brief Reports a crash to the fleet if the probed upstream is unreachable. One that accepts
 /// connections may have restarted, or another process may hold its socket: its next boot id tells.
 void onUpstreamProbed(DirectState &state, Instant now, const UpstreamProbed &event,
--- a/packages/decision/src/control/control.cpp
+++ b/packages/decision/src/control/control.cpp
@@ -206,7 +206,8 @@
     const std::uint64_t versionBefore = state.fleet_.view_.version_;
     for (const LogEntry &entry : entries) {
         const Outcome outcome = apply(state.fleet_, entry);
-        if (leads(state.consensus_) && outcome.kind_ == OutcomeKind::Accepted)
+        const bool changedView = state.fleet_.view_.version_ == entry.index_;
+        if (changedView && leads(state.consensus_))
             logSuspect(state.fleet_, entry.command_, effects);
         const auto waiter = state.waiters_.find(entry.index_);
         if (waiter == state.waiters_.end())
--- a/packages/decision/src/direct/direct_crashes.cpp
+++ b/packages/decision/src/direct/direct_crashes.cpp
@@ -15,6 +15,21 @@
 // taken for one with another cause.
 constexpr nanoseconds restartNoticeTime = seconds(5);
 
+// Runs that began with one that crashed its upstream have mostly ended after this time.
+constexpr nanoseconds soundRunPeriod = seconds(10);
+constexpr std::size_t maxSoundRuns = 4096; // by digest, in a period
+
+// Whether a run of a request that began after another one, or with it, has ended well. Then the
+// request is sound, and something else has crashed the upstream of the other run.
+bool hasSoundRunSince(const SoundRuns &runs, std::uint64_t digest, Instant start)
+{
+    const auto isSince = [&](const std::unordered_map<std::uint64_t, Instant> &starts) {
+        const auto found = starts.find(digest);
+        return found != starts.end() && found->second >= start;
+    };
+    return isSince(runs.starts_) || isSince(runs.earlierStarts_);
+}
+
 // The connection broke before the response or in it.
 bool mayHaveCrashed(const RunEnded &event)
 {
@@ -46,11 +61,14 @@
                  DirectEffects &effects)
 {
     const std::string scheduler = run.report_ ? chooseScheduler(state, now) : std::string();
+    const bool isSound = hasSoundRunSince(state.soundRuns_, run.digest_, run.startedAt_);
     effects.push_back(DecisionLine{
         "decision=crash_checked upstream=" + run.upstream_ + " boot=" + std::to_string(run.boot_)
-        + " digest=" + std::to_string(run.digest_) + " " + evidence + " reported_to=" + scheduler});
-    effects.push_back(SubmitProposal{0, ReportCrash{run.digest_, run.upstream_, false, run.boot_},
-                                     reportTimeout});
+        + " digest=" + std::to_string(run.digest_) + " " + evidence
+        + " sound_since=" + (isSound ? "true" : "false") + " reported_to=" + scheduler});
+    if (!isSound)
+        effects.push_back(SubmitProposal{
+            0, ReportCrash{run.digest_, run.upstream_, false, run.boot_}, reportTimeout});
     if (!run.report_)
         return;
     const ReportedCrash crash{*run.report_, run.endedAt_};
@@ -69,6 +87,18 @@
 
 } // namespace
 
+void recordSoundRun(DirectState &state, Instant now, const DirectRequest &request)
+{
+    SoundRuns &runs = state.soundRuns_;
+    const bool isOver = now - runs.periodStart_ >= soundRunPeriod;
+    if (isOver || runs.starts_.size() >= maxSoundRuns) {
+        runs.earlierStarts_ = std::exchange(runs.starts_, {});
+        runs.periodStart_ = now;
+    }
+    Instant &start = runs.starts_[request.digest_];
+    start = std::max(start, request.runStartedAt_);
+}
+
 void checkForCrash(DirectState &state, Instant now, const DirectRequest &request,
                    const RunEnded &event, DirectEffects &effects)
 {
@@ -87,7 +117,8 @@
     const bool isLeaving = usableFrom(state.notices_, *upstream->second, now) == Instant::max();
     if (isLeaving)
         return;
-    BrokenRun run{request.upstream_, request.upstreamBoot_, request.digest_, {}, now};
+    BrokenRun run{request.upstream_,    request.upstreamBoot_, request.digest_, {}, now,
+                  request.runStartedAt_};
     if (isPlanned(request))
         run.report_ =
             RunCrashed{request.call_.id_,    request.upstream_, request.upstreamBoot_,
--- a/packages/decision/src/direct/direct_runs.cpp
+++ b/packages/decision/src/direct/direct_runs.cpp
@@ -106,11 +106,14 @@
     failRequest(state, now, event.token_, refusedRetryAfter, EndReason{"upstreams_full"}, effects);
 }
 
-// Withdraws the crash reports about a request that has now been served.
-void clearIfSuspect(const DirectState &state, const DirectRequest &request, unsigned status,
+// Records a complete response. One that served the request withdraws the crash reports about it.
+void recordResponse(DirectState &state, Instant now, const DirectRequest &request, unsigned status,
                     DirectEffects &effects)
 {
-    if (status < firstFailure && findSuspect(state, request.digest_))
+    if (status >= firstFailure)
+        return;
+    recordSoundRun(state, now, request);
+    if (findSuspect(state, request.digest_))
         effects.push_back(SubmitProposal{0, ClearSuspect{request.digest_}, withdrawalTimeout});
 }
 
@@ -219,7 +222,7 @@
         return;
     }
     if (!failed) {
-        clearIfSuspect(state, request, event.status_, effects);
+        recordResponse(state, now, request, event.status_, effects);
         recordServiceTime(state, now, request);
     }
     const bool served = event.status_ < firstFailure;
@@ -292,12 +295,20 @@
 const Upstream *chooseUnplanned(DirectState &state, Instant now, const DirectRequest &request)
 {
     const Pool *pool = findPool(*state.table_, request.pool_);
-    std::vector<std::string> avoided = request.avoidedUpstreams_;
+    std::vector<const Upstream *> candidates =
+        usableUpstreams(state.notices_, upstreamsOf(state, request), now);
+    // An upstream that has just failed is better than one that a trial is about to crash.
     const auto &reserved = state.table_->trialUpstreams_;
-    avoided.insert(avoided.end(), reserved.begin(), reserved.end());
-    return chooseUpstream(usableUpstreams(state.notices_, upstreamsOf(state, request), now),
-                          state.upstreamStats_, avoided, state.random_(), now,
-                          pool && pool->coldRate_ > 0);
+    std::vector<const Upstream *> free;
+    std::copy_if(candidates.begin(), candidates.end(), std::back_inserter(free),
+                 [&](const Upstream *upstream) {
+                     return std::find(reserved.begin(), reserved.end(), upstream->name_)
+                         == reserved.end();
+                 });
+    if (!free.empty())
+        candidates = std::move(free);
+    return chooseUpstream(candidates, state.upstreamStats_, request.avoidedUpstreams_,
+                          state.random_(), now, pool && pool->coldRate_ > 0);
 }
 
 void startUnplannedRun(DirectState &state, Instant now, std::uint64_t token, DirectEffects &effects)
@@ -326,7 +337,7 @@
     switch (event.end_) {
     case RunEnd::Delivered:
         ++request->possibleExecutions_;
-        clearIfSuspect(state, *request, event.status_, effects);
+        recordResponse(state, now, *request, event.status_, effects);
         clearPartsOf(state, *request, SoundUntil::End);
         recordServiceTime(state, now, *request);
         notifyScheduler(*request, PlanOutcome::Served, "delivered", effects);
--- a/packages/decision/tests/unit-crash_trials.cpp
+++ b/packages/decision/tests/unit-crash_trials.cpp
@@ -17,8 +17,9 @@
 constexpr auto announcementInterval = seconds(1);
 constexpr auto workTime = milliseconds(100); // of a run
 constexpr auto contactTime = seconds(3); // in which entries get to know of changes
-constexpr std::uint64_t deadlyBody = 1;
-constexpr std::uint64_t soundBody = 2;
+constexpr std::uint64_t deadlyBody = 1; // as all up to lastDeadlyBody
+constexpr std::uint64_t lastDeadlyBody = 3;
+constexpr std::uint64_t soundBody = 10;
 constexpr int serverCount = 8;
 
 // A run of a request at a server.
@@ -38,9 +39,10 @@
     Upstream upstream_;
     bool up_ = true;
     Instant startsAt_{}; ///< when it starts again, if it is down
+    Instant crashesAt_ = Instant::max(); ///< end of its hang; it answers nothing before
 };
 
-// Control processes, entries and servers. A run of deadlyBody crashes its server.
+// Control processes, entries and servers. A run of a deadly body crashes its server.
 class CrashFleet
 {
 public:
@@ -122,10 +124,12 @@
     ControlGroup group_;
     std::vector<ServerRun> runs_; ///< all, in the order of their starts
     std::vector<Instant> crashes_;
+    std::map<std::uint64_t, std::vector<Instant>> crashesByBody_;
     std::map<std::uint64_t, int> served_; ///< by body
     std::map<std::uint64_t, int> refused_; ///< not executed, by body
     std::map<std::uint64_t, int> lost_; ///< by body
     milliseconds downTime_ = seconds(2);
+    milliseconds hangTime_{0}; ///< of a server before it crashes
     bool renames_ = false; ///< servers that crashed start again under other names
 
 private:
@@ -142,6 +146,7 @@
         server.upstream_.direct_ = true;
         server.upstream_.labels_ = {Label{"service", "plain"}};
         server.up_ = true;
+        server.crashesAt_ = Instant::max();
         announceAt_ = group_.now();
     }
 
@@ -216,9 +221,14 @@
         for (std::size_t i = 0; i < runs_.size(); ++i) {
             if (runs_[i].ended_ || runs_[i].startedAt_ + workTime > group_.now())
                 continue;
-            if (runs_[i].body_ == deadlyBody)
+            Server &server = servers_.at(runs_[i].server_);
+            if (runs_[i].body_ <= lastDeadlyBody && server.crashesAt_ == Instant::max()) {
+                server.crashesAt_ = group_.now() + hangTime_;
+                crashesByBody_[runs_[i].body_].push_back(server.crashesAt_);
+            }
+            if (server.crashesAt_ <= group_.now())
                 crash(runs_[i].server_);
-            else
+            else if (server.crashesAt_ == Instant::max())
                 endRun(i, RunEnd::Held, 200);
         }
     }
@@ -381,6 +391,63 @@
     BOOST_TEST(fleet.lost_[soundBody] == 0);
 }
 
+struct CrashMannerRow
+{
+    const char *description_;
+    std::uint64_t culprits_; ///< number of requests that crash servers
+    milliseconds hangTime_;
+    milliseconds downTime_;
+};
+
+std::ostream &operator<<(std::ostream &stream, const CrashMannerRow &row)
+{
+    return stream << row.description_;
+}
+
+const CrashMannerRow crashMannerTable[] = {
+    {"one", 1, milliseconds(0), seconds(2)},
+    {"one, up again at once", 1, milliseconds(0), milliseconds(0)},
+    {"one, hangs first", 1, seconds(1), seconds(2)},
+    {"one, hangs first, up again at once", 1, seconds(1), milliseconds(0)},
+    {"two", 2, milliseconds(0), seconds(2)},
+    {"two, hang first, up again at once", 2, seconds(1), milliseconds(0)},
+    {"three", 3, milliseconds(0), seconds(2)},
+    {"three, hang first", 3, seconds(1), seconds(2)},
+    {"three, hang first, up again at once", 3, seconds(1), milliseconds(0)},
+};
+
+// Guards against sound requests that are refused because they ran at servers that others crashed.
+BOOST_DATA_TEST_CASE(sound_requests_beside_crashes_stay_served, data::make(crashMannerTable), row)
+{
+    CrashFleet fleet(1);
+    fleet.hangTime_ = row.hangTime_;
+    fleet.downTime_ = row.downTime_;
+    int sent = 0;
+    int sentBefore = 0; // before entries can know of the third crash
+    int servedBefore = 0;
+    for (int i = 0; i < 400; ++i) {
+        for (const char *entry : {"e1", "e2"}) {
+            for (int copy = 0; copy < 2; ++copy, ++sent)
+                fleet.call(entry, soundBody);
+            for (std::uint64_t body = 1; body <= row.culprits_ && i % 10 == 0; ++body)
+                fleet.call(entry, body);
+        }
+        fleet.run(stepTime);
+        if (fleet.crashes_.size() < 3 || fleet.group_.now() < fleet.crashes_[2] + contactTime) {
+            sentBefore = sent;
+            servedBefore = fleet.served_[soundBody];
+        }
+    }
+    fleet.run(seconds(3));
+    BOOST_REQUIRE(fleet.crashes_.size() >= 3u);
+    BOOST_TEST((fleet.served_[soundBody] - servedBefore) * 100 >= (sent - sentBefore) * 95,
+               "served " << fleet.served_[soundBody] - servedBefore << " of " << sent - sentBefore);
+    for (const auto &[body, crashes] : fleet.crashesByBody_) {
+        BOOST_TEST(
+            (crashes.size() < 3 || fleet.startsAfter(body, crashes[2] + contactTime).size() <= 3));
+    }
+}
+
 // Guards against a trial that ends the work of other requests at its server, and against several
 // copies that are tried at once.
 BOOST_AUTO_TEST_CASE(trial_runs_alone)
--- a/packages/decision/tests/unit-direct.cpp
+++ b/packages/decision/tests/unit-direct.cpp
@@ -723,6 +723,49 @@
     BOOST_TEST(report.boot_ == 7u);
 }
 
+struct SoundRunRow
+{
+    const char *description_;
+    milliseconds start_; ///< of the other run, from the start of the one that breaks
+    const char *route_; ///< of the other run
+    unsigned status_; ///< of its response
+    bool reported_; ///< the crash counts against the request
+};
+
+std::ostream &operator<<(std::ostream &stream, const SoundRunRow &row)
+{
+    return stream << row.description_;
+}
+
+const SoundRunRow soundRunTable[] = {
+    {"a later run of the request", milliseconds(10), "unsafe", 200, false},
+    {"one that began with it", milliseconds(0), "unsafe", 200, false},
+    {"an earlier one", milliseconds(-10), "unsafe", 200, true},
+    {"one that ended badly", milliseconds(10), "unsafe", 500, true},
+    {"one of another request", milliseconds(10), "safe", 200, true},
+};
+
+// Guards against a sound request that is refused because it ran at servers that others crashed.
+BOOST_DATA_TEST_CASE(request_that_has_run_well_since_is_not_blamed, data::make(soundRunTable), row)
+{
+    DirectFixture fixture;
+    const Instant start = fixture.now_;
+    std::multimap<Instant, std::pair<std::uint64_t, const char *>> calls;
+    calls.insert({start, {1, "unsafe"}});
+    calls.insert({start + row.start_, {2, row.route_}});
+    for (const auto &[at, call] : calls) {
+        fixture.now_ = at;
+        fixture.call(call.second, call.first);
+    }
+    fixture.now_ = start + milliseconds(50);
+    fixture.handle(RunEnded{2, 1, RunEnd::Held, row.status_, "", ""});
+    const auto effects = fixture.handle(RunEnded{1, 1, RunEnd::Failed, 0, "", "reset"});
+    BOOST_REQUIRE(effectsOf<ProbeUpstream>(effects).size() == 1u);
+    const BrokenRun run = effectsOf<ProbeUpstream>(effects)[0].run_;
+    const auto down = fixture.handle(UpstreamProbed{run, false});
+    BOOST_TEST(effectsOf<SubmitProposal>(down).size() == (row.reported_ ? 1u : 0u));
+}
+
 // Crashes were forgotten if the control processes had no leader for three seconds.
 BOOST_AUTO_TEST_CASE(crash_reports_outlast_a_change_of_leader)
 {
@@ -1907,10 +1950,15 @@
     BOOST_TEST(effectsOf<StartRun>(fixture.grant("engine-1")).size() == 1u);
 }
 
-// Guards against other requests that are lost by the crash that a trial may cause.
-BOOST_AUTO_TEST_CASE(upstream_of_a_trial_gets_nothing_else)
+// Guards against other requests that are lost by the crash that a trial may cause, also if the
+// other upstreams have just failed.
+BOOST_DATA_TEST_CASE(upstream_of_a_trial_gets_nothing_else, data::make({false, true}), othersFailed)
 {
     DirectFixture fixture;
+    for (const char *name : {"plain-2", "plain-3"}) {
+        if (othersFailed)
+            recordRunEnd(fixture.state_.upstreamStats_, name, milliseconds(5), true, fixture.now_);
+    }
     reportTrial(fixture, digestOf("unsafe"), TrialPhase::Running, "e2", "plain-1");
     std::set<std::string> used;
     for (std::uint64_t token = 1; token <= 30; ++token) {
