Crashes are attributed to the request that explains them

Callers of a sound request got 503 beside one that crashes servers, if all servers of a service hung and crashed within a second: nothing could run well since.

Cause: each request that ran at a crash was blamed in the same way. A report says now whether the request has run well lately, and one that has isn't refused while refused requests that never have ran at all of its crashes. Requests that never ran well are never excused, so that two culprits at the same upstreams can't hide behind each other.

--- a/packages/core/include/chervilspring/messages.hpp
+++ b/packages/core/include/chervilspring/messages.hpp
@@ -300,8 +300,9 @@
     /// Boot id of the upstream before the crash. Reports with the same one are about the same
     /// crash. 0: not known, each report counts.
     std::uint64_t boot_ = 0;
+    bool hasRunWell_ = false; ///< as in Suspect
 };
-BOOST_DESCRIBE_STRUCT(ReportCrash, (), (digest_, upstream_, alone_, boot_))
+BOOST_DESCRIBE_STRUCT(ReportCrash, (), (digest_, upstream_, alone_, boot_, hasRunWell_))
 
 /// @brief Clears a suspect that ran to its end, or removes one that was followed by no further
 /// crash.
--- a/packages/core/include/chervilspring/upstream.hpp
+++ b/packages/core/include/chervilspring/upstream.hpp
@@ -55,6 +55,11 @@
     bool refused_ = false; ///< entries refuse the request body
     /// Ids of the newest of these crashes, oldest first: digests of upstream and boot id.
     std::vector<std::uint64_t> crashIds_;
+    /// Runs of it have ended well before the crashes. A request that crashes upstreams has none.
+    bool hasRunWell_ = false;
+    /// Requests that are refused, and have never run well, ran at all of these crashes: they
+    /// explain them better.
+    bool isExplained_ = false;
     std::uint32_t trials_ = 0; ///< trials that entries have taken
     TrialPhase trialPhase_ = TrialPhase::None;
     std::string trialEntry_; ///< name of the entry that has taken the running trial
@@ -63,8 +68,8 @@
     std::string trialUpstream_;
 };
 BOOST_DESCRIBE_STRUCT(Suspect, (),
-                      (digest_, crashes_, refused_, crashIds_, trials_, trialPhase_, trialEntry_,
-                       trialUpstream_))
+                      (digest_, crashes_, refused_, crashIds_, hasRunWell_, isExplained_, trials_,
+                       trialPhase_, trialEntry_, trialUpstream_))
 
 /// @brief Tells whether a request has crashed so many upstreams that it is sent to no other one,
 /// except for trials.
--- a/packages/core/src/upstream.cpp
+++ b/packages/core/src/upstream.cpp
@@ -92,7 +92,7 @@
 bool hasCrashedTooOften(const Suspect &suspect)
 {
     constexpr std::uint32_t crashLimit = 3;
-    return suspect.crashes_ >= crashLimit;
+    return suspect.crashes_ >= crashLimit && !suspect.isExplained_;
 }
 
 bool takesNewWork(const Upstream &upstream)
--- a/packages/decision/src/control/control.cpp
+++ b/packages/decision/src/control/control.cpp
@@ -177,6 +177,7 @@
         if (suspect.digest_ == digest)
             text += " crashes=" + std::to_string(suspect.crashes_)
                 + " refused=" + (hasCrashedTooOften(suspect) ? "true" : "false")
+                + " explained=" + (suspect.isExplained_ ? "true" : "false")
                 + " trials=" + std::to_string(suspect.trials_) + " trial="
                 + boost::describe::enum_to_string(suspect.trialPhase_, "?") + " trial_entry="
                 + suspect.trialEntry_ + " trial_upstream=" + suspect.trialUpstream_;
--- a/packages/decision/src/control/fleet_state.cpp
+++ b/packages/decision/src/control/fleet_state.cpp
@@ -364,12 +364,31 @@
         known.push_back(id);
     }
     ++suspect.crashes_;
+    suspect.hasRunWell_ = suspect.hasRunWell_ || report.hasRunWell_;
     // A single crash may have been caused by the VM. Refuse the body from the second crash on, if
     // it was the only one running at that crash.
     suspect.refused_ = suspect.refused_ || (report.alone_ && suspect.crashes_ >= refusalCrashCount);
     return true;
 }
 
+// Finds out which suspects other ones explain.
+void updateExplanations(std::vector<Suspect> &suspects)
+{
+    std::set<std::uint64_t> culpritCrashes;
+    for (const Suspect &suspect : suspects) {
+        if (!suspect.hasRunWell_ && hasCrashedTooOften(suspect))
+            culpritCrashes.insert(suspect.crashIds_.begin(), suspect.crashIds_.end());
+    }
+    for (Suspect &suspect : suspects) {
+        const bool allKnown = suspect.crashes_ == suspect.crashIds_.size();
+        suspect.isExplained_ = suspect.hasRunWell_ && allKnown
+            && std::all_of(suspect.crashIds_.begin(), suspect.crashIds_.end(),
+                           [&](std::uint64_t id) { return culpritCrashes.contains(id); });
+        if (suspect.isExplained_)
+            endTrial(suspect);
+    }
+}
+
 Outcome applyCommand(FleetState &state, const LogEntry &entry, const ReportCrash &command)
 {
     Suspect &suspect = suspectOf(state, command.digest_);
@@ -379,6 +398,7 @@
         && !suspect.trialUpstream_.empty() && suspect.trialUpstream_ != command.upstream_;
     if (!isOfOtherRun)
         endTrial(suspect);
+    updateExplanations(state.view_.suspects_);
     recordChange(state, entry.index_, {}, false);
     return outcome(OutcomeKind::Accepted, entry.index_);
 }
--- a/packages/decision/src/direct/direct_crashes.cpp
+++ b/packages/decision/src/direct/direct_crashes.cpp
@@ -19,6 +19,12 @@
 constexpr nanoseconds soundRunPeriod = seconds(10);
 constexpr std::size_t maxSoundRuns = 4096; // by digest, in a period
 
+// Whether a run of a request has ended well lately.
+bool hasSoundRun(const SoundRuns &runs, std::uint64_t digest)
+{
+    return runs.starts_.contains(digest) || runs.earlierStarts_.contains(digest);
+}
+
 // Whether a run of a request that began after another one, or with it, has ended well. Then the
 // request is sound, and something else has crashed the upstream of the other run.
 bool hasSoundRunSince(const SoundRuns &runs, std::uint64_t digest, Instant start)
@@ -67,8 +73,10 @@
         + " digest=" + std::to_string(run.digest_) + " " + evidence
         + " sound_since=" + (isSound ? "true" : "false") + " reported_to=" + scheduler});
     if (!isSound)
-        effects.push_back(SubmitProposal{
-            0, ReportCrash{run.digest_, run.upstream_, false, run.boot_}, reportTimeout});
+        effects.push_back(SubmitProposal{0,
+                                         ReportCrash{run.digest_, run.upstream_, false, run.boot_,
+                                                     hasSoundRun(state.soundRuns_, run.digest_)},
+                                         reportTimeout});
     if (!run.report_)
         return;
     const ReportedCrash crash{*run.report_, run.endedAt_};
--- a/packages/decision/tests/unit-direct.cpp
+++ b/packages/decision/tests/unit-direct.cpp
@@ -730,6 +730,7 @@
     const char *route_; ///< of the other run
     unsigned status_; ///< of its response
     bool reported_; ///< the crash counts against the request
+    bool hasRunWell_; ///< according to the report
 };
 
 std::ostream &operator<<(std::ostream &stream, const SoundRunRow &row)
@@ -738,11 +739,11 @@
 }
 
 const SoundRunRow soundRunTable[] = {
-    {"a later run of the request", milliseconds(10), "unsafe", 200, false},
-    {"one that began with it", milliseconds(0), "unsafe", 200, false},
-    {"an earlier one", milliseconds(-10), "unsafe", 200, true},
-    {"one that ended badly", milliseconds(10), "unsafe", 500, true},
-    {"one of another request", milliseconds(10), "safe", 200, true},
+    {"a later run of the request", milliseconds(10), "unsafe", 200, false, false},
+    {"one that began with it", milliseconds(0), "unsafe", 200, false, false},
+    {"an earlier one", milliseconds(-10), "unsafe", 200, true, true},
+    {"one that ended badly", milliseconds(10), "unsafe", 500, true, false},
+    {"one of another request", milliseconds(10), "safe", 200, true, false},
 };
 
 // Guards against a sound request that is refused because it ran at servers that others crashed.
@@ -763,7 +764,10 @@
     BOOST_REQUIRE(effectsOf<ProbeUpstream>(effects).size() == 1u);
     const BrokenRun run = effectsOf<ProbeUpstream>(effects)[0].run_;
     const auto down = fixture.handle(UpstreamProbed{run, false});
-    BOOST_TEST(effectsOf<SubmitProposal>(down).size() == (row.reported_ ? 1u : 0u));
+    const auto proposals = effectsOf<SubmitProposal>(down);
+    BOOST_REQUIRE(proposals.size() == (row.reported_ ? 1u : 0u));
+    for (const SubmitProposal &proposal : proposals)
+        BOOST_TEST(std::get<ReportCrash>(proposal.command_).hasRunWell_ == row.hasRunWell_);
 }
 
 // Crashes were forgotten if the control processes had no leader for three seconds.
--- a/packages/decision/tests/unit-fleet_state.cpp
+++ b/packages/decision/tests/unit-fleet_state.cpp
@@ -251,6 +251,113 @@
     BOOST_TEST(apply.state_.view_.suspects_.front().crashes_ == row.crashes_);
 }
 
+struct ExplanationRow
+{
+    const char *description_;
+    std::vector<ReportCrash> reports_; ///< in the order of their commits
+    bool firstRefused_; ///< requests with digest 1 are refused
+    bool secondRefused_; ///< those with digest 2
+};
+
+std::ostream &operator<<(std::ostream &stream, const ExplanationRow &row)
+{
+    return stream << row.description_;
+}
+
+const ExplanationRow explanationTable[] = {
+    {"the second one has run well, and at no other crash",
+     {{1, "u", false, 1},
+      {1, "v", false, 1},
+      {1, "w", false, 1},
+      {1, "u", false, 2},
+      {2, "v", false, 1, true},
+      {2, "w", false, 1, true},
+      {2, "u", false, 2, true}},
+     true,
+     false},
+    {"the reports about it come first",
+     {{2, "u", false, 1, true},
+      {2, "v", false, 1, true},
+      {2, "w", false, 1, true},
+      {1, "u", false, 1},
+      {1, "v", false, 1},
+      {1, "w", false, 1}},
+     true,
+     false},
+    {"it has run at another crash, too",
+     {{1, "u", false, 1},
+      {1, "v", false, 1},
+      {1, "w", false, 1},
+      {2, "u", false, 1, true},
+      {2, "v", false, 1, true},
+      {2, "x", false, 1, true}},
+     true,
+     true},
+    {"it has never run well",
+     {{1, "u", false, 1},
+      {1, "v", false, 1},
+      {1, "w", false, 1},
+      {2, "u", false, 1},
+      {2, "v", false, 1},
+      {2, "w", false, 1}},
+     true,
+     true},
+    {"both have run well",
+     {{1, "u", false, 1, true},
+      {1, "v", false, 1, true},
+      {1, "w", false, 1, true},
+      {2, "u", false, 1, true},
+      {2, "v", false, 1, true},
+      {2, "w", false, 1, true}},
+     true,
+     true},
+    {"requests with a single crash explain nothing",
+     {{2, "u", false, 1, true},
+      {2, "v", false, 1, true},
+      {2, "w", false, 1, true},
+      {1, "u", false, 1},
+      {3, "v", false, 1},
+      {4, "w", false, 1}},
+     false,
+     true},
+    {"two culprits",
+     {{2, "u", false, 1, true},
+      {2, "v", false, 1, true},
+      {2, "w", false, 1, true},
+      {1, "u", false, 1},
+      {1, "u", false, 2},
+      {1, "u", false, 3},
+      {3, "v", false, 1},
+      {3, "w", false, 1},
+      {3, "w", false, 2}},
+     true,
+     false},
+    {"a crash of an unknown start",
+     {{1, "u", false, 1},
+      {1, "v", false, 1},
+      {1, "w", false, 1},
+      {2, "u", false, 1, true},
+      {2, "v", false, 1, true},
+      {2, "w", false, 0, true}},
+     true,
+     true},
+};
+
+// Guards against a sound request that is refused beside one that explains all of its crashes, and
+// against one that crashes upstreams and isn't refused because of others that ran there.
+BOOST_DATA_TEST_CASE(crashes_are_attributed_to_the_request_that_explains_them,
+                     data::make(explanationTable), row)
+{
+    StateMachine apply;
+    for (const ReportCrash &report : row.reports_)
+        apply(report);
+    for (const Suspect &suspect : apply.state_.view_.suspects_) {
+        if (suspect.digest_ <= 2)
+            BOOST_TEST(hasCrashedTooOften(suspect)
+                       == (suspect.digest_ == 1 ? row.firstRefused_ : row.secondRefused_));
+    }
+}
+
 BOOST_AUTO_TEST_CASE(quarantines_are_replaced_removed_and_bounded)
 {
     StateMachine apply;
--- a/packages/wire/schema/fleet.capnp
+++ b/packages/wire/schema/fleet.capnp
@@ -208,6 +208,8 @@
   trialPhase @5 :TrialPhase;
   trialEntry @6 :Text;
   trialUpstream @7 :Text;
+  hasRunWell @8 :Bool;
+  isExplained @9 :Bool;
 }
 
 struct Quarantine {
@@ -390,6 +392,7 @@
   upstream @1 :Text;
   alone @2 :Bool;
   boot @3 :UInt64;
+  hasRunWell @4 :Bool;
 }
 
 struct ClearSuspect {
