--- a/packages/core/include/chervilspring/settings.hpp
+++ b/packages/core/include/chervilspring/settings.hpp
@@ -97,8 +97,8 @@
     std::size_t snapshotBytes_ = 0; ///< memory of the log entries between two snapshots
     milliseconds nodeLease_{0}; ///< silence of an agent after which its upstream is removed
     milliseconds replaceAfter_{0}; ///< silence of a voter after which it is replaced
-    std::vector<std::uint64_t>
-        liftedQuarantines_; ///< ids of quarantines and digests of suspects to remove at a reload
+    /// Ids of quarantines and digests of refused requests that are lifted at a reload.
+    std::vector<std::uint64_t> liftedQuarantines_;
     std::uint32_t queueLimit_ = 0; ///< attempts that may wait at an agent
     bool routes_ = false; ///< serves routes with the protocol of the platform, without agents
     std::uint16_t readyPort_ = 0; ///< port for readiness checks, if routes_ is set
--- a/packages/decision/tests/unit-direct.cpp
+++ b/packages/decision/tests/unit-direct.cpp
@@ -1745,14 +1745,11 @@
     BOOST_TEST(effectsOf<StartRun>(fixture.call("safe")).empty());
 }
 
-// Tells an entry that a request has crashed upstreams, as a view after the reports does.
-void reportCrashes(DirectFixture &fixture, std::uint64_t digest, std::uint32_t crashes)
+// Passes an entry a view that lists a suspect.
+void reportSuspect(DirectFixture &fixture, const Suspect &suspect)
 {
     auto view = std::make_shared<View>(*testView());
-    view->version_ = 8;
-    Suspect suspect;
-    suspect.digest_ = digest;
-    suspect.crashes_ = crashes;
+    view->version_ = fixture.state_.table_->view_->version_ + 1;
     view->suspects_ = {suspect};
     ViewChanged change;
     change.view_ = view;
@@ -1789,7 +1786,10 @@
 {
     DirectFixture fixture;
     fixture.call(row.route_);
-    reportCrashes(fixture, fixture.state_.requests_.at(1).digest_, row.crashes_);
+    Suspect suspect;
+    suspect.digest_ = fixture.state_.requests_.at(1).digest_;
+    suspect.crashes_ = row.crashes_;
+    reportSuspect(fixture, suspect);
     const auto effects = row.planned_
         ? fixture.grant("engine-1")
         : fixture.handle(RunEnded{1, 1, RunEnd::NotExecuted, 503, "", ""});
@@ -1804,21 +1804,13 @@
 void reportTrial(DirectFixture &fixture, std::uint64_t digest, TrialPhase phase,
                  const std::string &entry, const std::string &upstream, std::uint32_t crashes = 3)
 {
-    auto view = std::make_shared<View>(*testView());
-    view->version_ = fixture.state_.table_->view_->version_ + 1;
     Suspect suspect;
     suspect.digest_ = digest;
     suspect.crashes_ = crashes;
     suspect.trialPhase_ = phase;
     suspect.trialEntry_ = entry;
     suspect.trialUpstream_ = upstream;
-    view->suspects_ = {suspect};
-    ViewChanged change;
-    change.view_ = view;
-    change.share_ = wholeShare;
-    change.shareExpires_ = fixture.now_ + seconds(1000);
-    change.leader_ = "c1";
-    fixture.handle(change);
+    reportSuspect(fixture, suspect);
 }
 
 // Returns the digest of the requests of a route.
